--- /dev/null
+++ b/Source/cli/configcommands.cpp
@@ -0,0 +1,163 @@
+#include "cli/commands.h"
+
+#include <gflags/gflags.h>
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+#include <thread>
+#include <vector>
+
+DECLARE_string(environment);
+DEFINE_string(file, "", "file with the document, in JSON");
+DEFINE_string(from, "", "environment whose document is promoted");
+DEFINE_string(digest, "", "digest of the document that is promoted");
+DEFINE_int64(expectedRevision, -1, "revision that is expected to be in force; 0 for none yet");
+DEFINE_uint64(toRevision, 0, "revision whose document is put in force again");
+DEFINE_string(requestId, "", "id by which a resend gets the first outcome; a random one when empty");
+DEFINE_string(worker, "", "worker that the verdict is about");
+DEFINE_uint64(sequence, 0, "number of the verdict; a higher one replaces a lower one");
+DEFINE_uint64(inForceMs, 8000, "how long to wait until the hosts of --hosts have the change in force; 0 for not at all");
+DEFINE_bool(down, false, "whether the monitoring group says that the worker is down");
+
+namespace rosemaryturn::cli
+{
+namespace
+{
+using Json = nlohmann::json;
+
+constexpr std::uint64_t probeMs = 1000;
+constexpr std::uint64_t probePauseMs = 50;
+
+std::string requestId()
+{
+    if (!FLAGS_requestId.empty()) {
+        return FLAGS_requestId;
+    }
+    std::random_device device;
+    std::uniform_int_distribution<std::uint64_t> numbers;
+    return "cli-" + std::to_string(numbers(device)) + "-" + std::to_string(numbers(device));
+}
+
+bool checkCommon()
+{
+    if (FLAGS_environment.empty()) {
+        std::cerr << "name the environment with --environment\n";
+        return false;
+    }
+    if (FLAGS_expectedRevision < 0) {
+        std::cerr << "name the revision in force with --expectedRevision; rosemaryturn config shows it\n";
+        return false;
+    }
+    return true;
+}
+
+bool runsRevision(const std::string &host, std::uint64_t revision)
+{
+    EntryHosts one{{host}, 0};
+    const CallResult result = callAny(one, {"GET", "/v1/config/" + escapeUrl(FLAGS_environment), "", probeMs, 0});
+    return result.code == ExitCode::Success && result.body.value("revision", std::uint64_t{0}) >= revision;
+}
+
+/** @return the hosts on which the revision is not in force when the wait is over. */
+std::vector<std::string> waitInForce(const EntryHosts &hosts, std::uint64_t revision)
+{
+    std::vector<std::string> missing = hosts.hosts;
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(FLAGS_inForceMs);
+    while (true) {
+        std::erase_if(missing, [revision](const std::string &host) {
+            return runsRevision(host, revision);
+        });
+        if (missing.empty() || std::chrono::steady_clock::now() >= deadline) {
+            return missing;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(probePauseMs));
+    }
+}
+
+ExitCode change(EntryHosts &hosts, Json body)
+{
+    body["requestId"] = requestId();
+    body["expectedRevision"] = FLAGS_expectedRevision;
+    CallResult result = callAny(hosts, {"POST", "/v1/config/" + escapeUrl(FLAGS_environment), body.dump()});
+    if (result.code == ExitCode::Success && FLAGS_inForceMs > 0) {
+        result.body["notInForceOn"] = waitInForce(hosts, result.body.value("revision", std::uint64_t{0}));
+    }
+    print(result);
+    return result.code;
+}
+
+ExitCode showFrom(EntryHosts &hosts, const std::string &path)
+{
+    const CallResult result = callAny(hosts, {"GET", path, ""});
+    print(result);
+    return result.code;
+}
+}
+
+ExitCode applyDocument(EntryHosts &hosts)
+{
+    if (!checkCommon()) {
+        return ExitCode::WrongUsage;
+    }
+    std::ifstream file(FLAGS_file, std::ios::binary);
+    const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    const Json document = Json::parse(text, nullptr, false);
+    if (!document.is_object()) {
+        std::cerr << "--file=" << FLAGS_file << ": name a readable file with a JSON object\n";
+        return ExitCode::WrongUsage;
+    }
+    return change(hosts, {{"document", document}});
+}
+
+ExitCode promoteDocument(EntryHosts &hosts)
+{
+    if (!checkCommon() || FLAGS_from.empty() || FLAGS_digest.empty()) {
+        std::cerr << "promote needs --from, --environment, --digest and --expectedRevision\n";
+        return ExitCode::WrongUsage;
+    }
+    return change(hosts, {{"promoteFrom", FLAGS_from}, {"digest", FLAGS_digest}});
+}
+
+ExitCode rollBackDocument(EntryHosts &hosts)
+{
+    if (!checkCommon() || FLAGS_toRevision == 0) {
+        std::cerr << "rollback needs --environment, --toRevision and --expectedRevision\n";
+        return ExitCode::WrongUsage;
+    }
+    return change(hosts, {{"rollbackTo", FLAGS_toRevision}});
+}
+
+ExitCode showConfig(EntryHosts &hosts)
+{
+    if (FLAGS_environment.empty()) {
+        std::cerr << "name the environment with --environment\n";
+        return ExitCode::WrongUsage;
+    }
+    return showFrom(hosts, "/v1/config/" + escapeUrl(FLAGS_environment));
+}
+
+ExitCode giveVerdict(EntryHosts &hosts)
+{
+    if (FLAGS_worker.empty() || FLAGS_sequence == 0) {
+        std::cerr << "verdict needs --worker, --sequence and --down\n";
+        return ExitCode::WrongUsage;
+    }
+    const Json body{{"worker", FLAGS_worker}, {"sequence", FLAGS_sequence}, {"down", FLAGS_down}};
+    const CallResult result = callAny(hosts, {"POST", "/v1/verdicts", body.dump()});
+    print(result);
+    return result.code;
+}
+
+ExitCode showStatus(EntryHosts &hosts)
+{
+    return showFrom(hosts, "/v1/status");
+}
+
+ExitCode showMetrics(EntryHosts &hosts)
+{
+    return showFrom(hosts, "/v1/metrics");
+}
+}
--- /dev/null
+++ b/Source/cli/entryhosts.cpp
@@ -0,0 +1,92 @@
+#include "cli/entryhosts.h"
+
+#include <algorithm>
+#include <chrono>
+#include <sstream>
+#include <thread>
+
+namespace rosemaryturn::cli
+{
+namespace
+{
+constexpr std::chrono::milliseconds retryPause{200};
+constexpr long firstRefusal = 400;
+
+bool isForNow(const CallResult &result)
+{
+    return result.code == ExitCode::Unreachable || result.code == ExitCode::RefusedForNow;
+}
+
+CallResult callOne(const std::string &host, const Call &call)
+{
+    transport::HttpRequest request{call.method, "http://" + host + call.path, call.body, call.timeoutMs};
+    std::error_code error;
+    const transport::HttpResult answer = transport::callHttp(request, error);
+    CallResult result;
+    if (error) {
+        return result;
+    }
+    result.status = answer.status;
+    result.body = nlohmann::json::parse(answer.body, nullptr, false);
+    if (result.body.is_discarded()) {
+        return result;
+    }
+    if (answer.status < firstRefusal) {
+        result.code = ExitCode::Success;
+        return result;
+    }
+    const bool later = result.body.contains("error") && result.body["error"].value("retry", "never") == "later";
+    result.code = later ? ExitCode::RefusedForNow : ExitCode::Refused;
+    return result;
+}
+}
+
+EntryHosts parseHosts(std::string_view text)
+{
+    EntryHosts hosts;
+    std::istringstream stream{std::string(text)};
+    for (std::string host; std::getline(stream, host, ',');) {
+        if (!host.empty()) {
+            hosts.hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+CallResult callAny(EntryHosts &hosts, const Call &call)
+{
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(call.patienceMs);
+    CallResult result;
+    while (!hosts.hosts.empty()) {
+        result = callOne(hosts.hosts[hosts.next % hosts.hosts.size()], call);
+        if (!isForNow(result)) {
+            return result;
+        }
+        ++hosts.next;
+        if (std::chrono::steady_clock::now() >= deadline) {
+            return result;
+        }
+        std::this_thread::sleep_for(retryPause);
+    }
+    return result;
+}
+
+std::string escapeUrl(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr unsigned nibbleBits = 4;
+    constexpr unsigned nibbleMask = 0xF;
+    std::string result;
+    for (const char character : text) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (std::isalnum(byte) != 0 || character == '-' || character == '_' || character == '.' || character == ':' || character == '@') {
+            result += character;
+        } else {
+            result += '%';
+            result += digits[byte >> nibbleBits];
+            result += digits[byte & nibbleMask];
+        }
+    }
+    return result;
+}
+}
--- /dev/null
+++ b/Source/cli/loadcommand.cpp
@@ -0,0 +1,185 @@
+#include "cli/commands.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <random>
+#include <sstream>
+#include <thread>
+#include <vector>
+
+DECLARE_string(environment);
+DECLARE_bool(json);
+DECLARE_uint64(waitMs);
+DEFINE_uint64(rate, 50, "submissions a second");
+DEFINE_uint64(seconds, 10, "duration of the load");
+DEFINE_string(services, "", "mix as NAME=WEIGHT,NAME=WEIGHT");
+DEFINE_uint64(seed, 1, "seed of all random choices");
+DEFINE_uint64(threads, 64, "submissions under way at a time");
+DEFINE_uint64(nonIdempotentPercent, 0, "share of submissions that are marked as non-idempotent");
+DEFINE_uint64(urgentPercent, 0, "share of submissions that are marked as urgent");
+DEFINE_string(keyPrefix, "load", "start of all keys; another one for each run");
+
+namespace rosemaryturn::cli
+{
+namespace
+{
+using Json = nlohmann::json;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr std::uint64_t maxRate = 20000;
+constexpr std::uint64_t maxSeconds = 3600;
+constexpr std::uint64_t maxThreads = 1000;
+constexpr std::uint64_t percent = 100;
+
+/** One submission that is planned before the load starts. */
+struct Shot
+{
+    std::chrono::nanoseconds at{}; ///< Intended time from the start of the load.
+    Json body;
+    std::string group; ///< What its latency is counted under.
+};
+
+/** What callers saw. */
+struct Report
+{
+    std::mutex mutex;
+    std::map<std::string, std::vector<double>> latencyMs; ///< Of answered tasks, by group, from the intended time on.
+    std::map<std::string, std::uint64_t> ends; ///< By outcome or refusal.
+};
+
+std::vector<std::pair<std::string, std::uint64_t>> parseMix(const std::string &text)
+{
+    std::vector<std::pair<std::string, std::uint64_t>> mix;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');) {
+        const std::size_t equals = part.find('=');
+        const std::uint64_t weight = equals == std::string::npos ? 1 : std::strtoull(part.c_str() + equals + 1, nullptr, 10);
+        if (!part.empty() && weight > 0) {
+            mix.emplace_back(part.substr(0, equals), weight);
+        }
+    }
+    return mix;
+}
+
+std::vector<Shot> planShots(const std::vector<std::pair<std::string, std::uint64_t>> &mix)
+{
+    std::mt19937_64 random(FLAGS_seed);
+    std::vector<double> weights;
+    weights.reserve(mix.size());
+    for (const auto &[name, weight] : mix) {
+        weights.push_back(static_cast<double>(weight));
+    }
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+    std::uniform_int_distribution<std::uint64_t> hundred(0, percent - 1);
+    std::exponential_distribution<double> gap(static_cast<double>(FLAGS_rate));
+    std::vector<Shot> shots;
+    double atSeconds = gap(random);
+    while (atSeconds < static_cast<double>(FLAGS_seconds)) {
+        Shot shot;
+        shot.at = std::chrono::nanoseconds(static_cast<std::int64_t>(atSeconds * 1e9));
+        const std::string &service = mix[pick(random)].first;
+        const bool urgent = hundred(random) < FLAGS_urgentPercent;
+        shot.group = urgent ? service + " urgent" : service;
+        shot.body = {{"key", FLAGS_keyPrefix + "-" + std::to_string(FLAGS_seed) + "-" + std::to_string(shots.size())},
+                     {"service", service},
+                     {"payload", "load " + std::to_string(shots.size())},
+                     {"urgent", urgent},
+                     {"waitMs", FLAGS_waitMs}};
+        if (hundred(random) < FLAGS_nonIdempotentPercent) {
+            shot.body["idempotent"] = false;
+        }
+        if (!FLAGS_environment.empty()) {
+            shot.body["environment"] = FLAGS_environment;
+        }
+        shots.push_back(std::move(shot));
+        atSeconds += gap(random);
+    }
+    return shots;
+}
+
+void noteEnd(Report &report, const Shot &shot, const CallResult &result, double elapsedMs)
+{
+    std::string end = exitName(result.code);
+    if (result.body.is_object() && result.body.contains("error")) {
+        end = result.body["error"].value("name", end);
+    } else if (result.body.is_object() && result.body.contains("outcome")) {
+        end = result.body.value("state", "") == "ended" ? result.body.value("outcome", end) : "not-ended";
+    }
+    const std::lock_guard lock(report.mutex);
+    ++report.ends[end];
+    if (end == "answered") {
+        report.latencyMs[shot.group].push_back(elapsedMs);
+    }
+}
+
+void fire(const EntryHosts &allHosts, const std::vector<Shot> &shots, std::atomic<std::size_t> &next, SteadyClock::time_point start, Report &report)
+{
+    EntryHosts hosts = allHosts;
+    for (std::size_t index = next++; index < shots.size(); index = next++) {
+        const Shot &shot = shots[index];
+        const auto intended = start + shot.at;
+        std::this_thread::sleep_until(intended);
+        hosts.next = index;
+        // The load shows every refusal as a caller sees it, so nothing is repeated here.
+        const CallResult result = callAny(hosts, {"POST", "/v1/tasks", shot.body.dump(), FLAGS_waitMs + 10000, 0});
+        noteEnd(report, shot, result, std::chrono::duration<double, std::milli>(SteadyClock::now() - intended).count());
+    }
+}
+
+double quantile(const std::vector<double> &sorted, double probability)
+{
+    const auto index = static_cast<std::size_t>(probability * static_cast<double>(sorted.size() - 1));
+    return sorted[index];
+}
+
+Json summarise(Report &report, std::size_t sent, double elapsedSeconds)
+{
+    Json latencies = Json::object();
+    std::uint64_t answered = 0;
+    for (auto &[group, values] : report.latencyMs) {
+        std::sort(values.begin(), values.end());
+        answered += values.size();
+        latencies[group] = {{"answered", values.size()}, {"p50Ms", quantile(values, 0.5)}, {"p99Ms", quantile(values, 0.99)}, {"worstMs", values.back()}};
+    }
+    return {{"sent", sent},
+            {"seconds", elapsedSeconds},
+            {"answeredPerSecond", static_cast<double>(answered) / elapsedSeconds},
+            {"ends", report.ends},
+            {"latency", latencies}};
+}
+}
+
+ExitCode runLoad(EntryHosts &hosts)
+{
+    const auto mix = parseMix(FLAGS_services);
+    const bool inRange
+        = FLAGS_rate >= 1 && FLAGS_rate <= maxRate && FLAGS_seconds >= 1 && FLAGS_seconds <= maxSeconds && FLAGS_threads >= 1 && FLAGS_threads <= maxThreads;
+    if (mix.empty() || !inRange) {
+        std::cerr << "load needs --services=NAME=WEIGHT,..., --rate from 1 to " << maxRate << ", --seconds from 1 to " << maxSeconds << ", --threads from 1 to "
+                  << maxThreads << '\n';
+        return ExitCode::WrongUsage;
+    }
+    const std::vector<Shot> shots = planShots(mix);
+    Report report;
+    std::atomic<std::size_t> next{0};
+    const auto start = SteadyClock::now();
+    std::vector<std::thread> threads;
+    for (std::uint64_t i = 0; i < FLAGS_threads; ++i) {
+        threads.emplace_back([&] {
+            fire(hosts, shots, next, start, report);
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    const double elapsed = std::chrono::duration<double>(SteadyClock::now() - start).count();
+    std::cout << summarise(report, shots.size(), elapsed).dump(FLAGS_json ? -1 : 2) << '\n';
+    return ExitCode::Success;
+}
+}
--- /dev/null
+++ b/Source/cli/taskcommands.cpp
@@ -0,0 +1,198 @@
+#include "cli/commands.h"
+
+#include <gflags/gflags.h>
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+
+DEFINE_string(key, "", "key of the task; a random one is made for a submission that names none");
+DEFINE_string(service, "", "service of the task, as the document declares it");
+DEFINE_string(environment, "", "environment of the service or document");
+DEFINE_string(payload, "", "what the task is given");
+DEFINE_string(payloadFile, "", "file with what the task is given");
+DEFINE_string(idempotent, "", "true or false; empty for what the service declares");
+DEFINE_bool(urgent, false, "place it before other work");
+DEFINE_uint64(gangSize, 1, "tasks of a gang");
+DEFINE_uint64(cpuMillis, 0, "processor time in thousandths of a core; 0 for what the service declares");
+DEFINE_uint64(memoryMb, 0, "memory; 0 for what the service declares");
+DEFINE_uint64(accelerators, 0, "accelerators; 0 for what the service declares");
+DEFINE_uint64(queueMs, 0, "longest wait for a worker; 0 for what the service declares");
+DEFINE_uint64(maxRunMs, 0, "longest run; 0 for what the service declares");
+DEFINE_uint64(waitMs, 30000, "how long to wait for the answer; 0 for not at all");
+
+namespace rosemaryturn::cli
+{
+namespace
+{
+using Json = nlohmann::json;
+using SteadyClock = std::chrono::steady_clock;
+
+/** Longest wait that one call asks for, so that a host that goes away costs little. */
+constexpr std::uint64_t callWaitMs = 5000;
+constexpr std::uint64_t callGraceMs = 7000;
+constexpr long statusOpen = 202;
+
+std::string randomKey()
+{
+    std::random_device device;
+    std::string key = "cli-";
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr int length = 24;
+    std::uniform_int_distribution<std::size_t> pick(0, digits.size() - 1);
+    for (int i = 0; i < length; ++i) {
+        key += digits[pick(device)];
+    }
+    return key;
+}
+
+std::uint64_t leftMs(SteadyClock::time_point deadline)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - SteadyClock::now()).count();
+    return left > 0 ? static_cast<std::uint64_t>(left) : 0;
+}
+
+std::string querySuffix(std::uint64_t waitMs)
+{
+    std::string query = "?waitMs=" + std::to_string(waitMs);
+    if (!FLAGS_service.empty()) {
+        query += "&service=" + escapeUrl(FLAGS_service);
+    }
+    if (!FLAGS_environment.empty()) {
+        query += "&environment=" + escapeUrl(FLAGS_environment);
+    }
+    return query;
+}
+
+bool addNumber(Json &body, const char *name, std::uint64_t value)
+{
+    if (value > 0) {
+        body[name] = value;
+    }
+    return value > 0;
+}
+
+/** @return false when the flags cannot be used. */
+bool fillSubmission(Json &body)
+{
+    body = {{"key", FLAGS_key}, {"service", FLAGS_service}, {"payload", FLAGS_payload}};
+    if (!FLAGS_payloadFile.empty()) {
+        std::ifstream file(FLAGS_payloadFile, std::ios::binary);
+        if (!file) {
+            std::cerr << "--payloadFile=" << FLAGS_payloadFile << ": name a file that can be read\n";
+            return false;
+        }
+        body["payload"] = std::string{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    }
+    if (!FLAGS_idempotent.empty()) {
+        if (FLAGS_idempotent != "true" && FLAGS_idempotent != "false") {
+            std::cerr << "--idempotent=" << FLAGS_idempotent << ": give true or false\n";
+            return false;
+        }
+        body["idempotent"] = FLAGS_idempotent == "true";
+    }
+    if (!FLAGS_environment.empty()) {
+        body["environment"] = FLAGS_environment;
+    }
+    if (FLAGS_urgent) {
+        body["urgent"] = true;
+    }
+    addNumber(body, "gangSize", FLAGS_gangSize > 1 ? FLAGS_gangSize : 0);
+    addNumber(body, "cpuMillis", FLAGS_cpuMillis);
+    addNumber(body, "memoryMb", FLAGS_memoryMb);
+    addNumber(body, "accelerators", FLAGS_accelerators);
+    addNumber(body, "queueMs", FLAGS_queueMs);
+    addNumber(body, "maxRunMs", FLAGS_maxRunMs);
+    return true;
+}
+
+ExitCode codeOf(const CallResult &result)
+{
+    if (result.code != ExitCode::Success) {
+        return result.code;
+    }
+    if (result.status == statusOpen) {
+        return ExitCode::NotEnded;
+    }
+    const Json tasks = result.body.contains("tasks") ? result.body["tasks"] : Json::array({result.body});
+    for (const Json &task : tasks) {
+        if (task.value("outcome", "") != "answered") {
+            return ExitCode::EndedWithoutAnswer;
+        }
+    }
+    return ExitCode::Success;
+}
+
+/** Asks by the key until the tasks end or the wait is over, whatever host answers. */
+CallResult waitByKey(EntryHosts &hosts, CallResult result, SteadyClock::time_point deadline)
+{
+    while (result.code == ExitCode::Success && result.status == statusOpen && leftMs(deadline) > 0) {
+        const std::uint64_t waitMs = std::min(leftMs(deadline), callWaitMs);
+        const std::string key = result.body.value("key", FLAGS_key);
+        result = callAny(hosts, {"GET", "/v1/tasks/" + escapeUrl(key) + querySuffix(waitMs), "", waitMs + callGraceMs, leftMs(deadline) + callGraceMs});
+    }
+    return result;
+}
+
+ExitCode finish(const CallResult &result)
+{
+    print(result);
+    return codeOf(result);
+}
+
+bool requireKey()
+{
+    if (FLAGS_key.empty()) {
+        std::cerr << "name the task with --key\n";
+        return false;
+    }
+    return true;
+}
+}
+
+ExitCode submitTask(EntryHosts &hosts)
+{
+    if (FLAGS_service.empty()) {
+        std::cerr << "name the service with --service\n";
+        return ExitCode::WrongUsage;
+    }
+    if (FLAGS_key.empty()) {
+        FLAGS_key = randomKey();
+    }
+    Json body;
+    if (!fillSubmission(body)) {
+        return ExitCode::WrongUsage;
+    }
+    const auto deadline = SteadyClock::now() + std::chrono::milliseconds(FLAGS_waitMs);
+    body["waitMs"] = std::min(FLAGS_waitMs, callWaitMs);
+    const Call call{"POST", "/v1/tasks", body.dump(-1, ' ', false, Json::error_handler_t::replace), callWaitMs + callGraceMs, FLAGS_waitMs + callGraceMs};
+    return finish(waitByKey(hosts, callAny(hosts, call), deadline));
+}
+
+ExitCode waitForTask(EntryHosts &hosts)
+{
+    if (!requireKey()) {
+        return ExitCode::WrongUsage;
+    }
+    const auto deadline = SteadyClock::now() + std::chrono::milliseconds(FLAGS_waitMs);
+    const std::uint64_t waitMs = std::min(FLAGS_waitMs, callWaitMs);
+    const Call call{"GET", "/v1/tasks/" + escapeUrl(FLAGS_key) + querySuffix(waitMs), "", waitMs + callGraceMs, FLAGS_waitMs + callGraceMs};
+    return finish(waitByKey(hosts, callAny(hosts, call), deadline));
+}
+
+ExitCode cancelTask(EntryHosts &hosts)
+{
+    if (!requireKey()) {
+        return ExitCode::WrongUsage;
+    }
+    const std::uint64_t waitMs = std::min(FLAGS_waitMs, callWaitMs);
+    const CallResult result = callAny(hosts, {"DELETE", "/v1/tasks/" + escapeUrl(FLAGS_key) + querySuffix(waitMs), "", waitMs + callGraceMs, callGraceMs});
+    print(result);
+    if (result.code != ExitCode::Success) {
+        return result.code;
+    }
+    return result.status == statusOpen ? ExitCode::NotEnded : ExitCode::Success;
+}
+}
--- /dev/null
+++ b/Source/config/jsonreader.cpp
@@ -0,0 +1,202 @@
+#include "config/jsonreader.h"
+
+namespace rosemaryturn::config
+{
+namespace
+{
+constexpr std::size_t shownValueLength = 60;
+
+std::string shorten(const nlohmann::json &value)
+{
+    std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (text.size() > shownValueLength) {
+        text = text.substr(0, shownValueLength) + "...";
+    }
+    return text;
+}
+}
+
+nlohmann::json parseJson(std::string_view text, std::vector<FieldError> &errors)
+{
+    bool tooDeep = false;
+    const auto checkDepth = [&tooDeep](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
+        tooDeep = tooDeep || depth > maxJsonDepth;
+        return !tooDeep;
+    };
+    nlohmann::json value = nlohmann::json::parse(text, checkDepth, false);
+    if (tooDeep) {
+        errors.push_back({model::Reason::MalformedJson, "", "", "nest at most " + std::to_string(maxJsonDepth) + " levels"});
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
+    if (value.is_discarded()) {
+        errors.push_back({model::Reason::MalformedJson, "", "", "send one well-formed JSON value in UTF-8"});
+    }
+    return value;
+}
+
+std::string describe(const FieldError &error)
+{
+    std::string text = error.pointer.empty() ? "/" : error.pointer;
+    if (!error.value.empty()) {
+        text += " has " + error.value;
+    }
+    return text + ": " + error.remedy;
+}
+
+std::string describeAll(const std::vector<FieldError> &errors)
+{
+    std::string text;
+    for (const FieldError &error : errors) {
+        if (!text.empty()) {
+            text += '\n';
+        }
+        text += describe(error);
+    }
+    return text;
+}
+
+ObjectReader::ObjectReader(const nlohmann::json &value, std::string pointer, std::vector<FieldError> &errors)
+    : m_value(value)
+    , m_pointer(std::move(pointer))
+    , m_errors(errors)
+{
+    if (!value.is_object()) {
+        errors.push_back({model::Reason::WrongType, m_pointer, shorten(value), "give a JSON object"});
+    }
+}
+
+std::string ObjectReader::pointerTo(std::string_view name) const
+{
+    return m_pointer + "/" + std::string(name);
+}
+
+void ObjectReader::fail(const char *name, model::Reason reason, const std::string &remedy)
+{
+    const auto *value = any(name);
+    m_errors.push_back({reason, pointerTo(name), value == nullptr ? "" : shorten(*value), remedy});
+}
+
+const nlohmann::json *ObjectReader::any(const char *name)
+{
+    m_known.insert(name);
+    if (!m_value.is_object()) {
+        return nullptr;
+    }
+    const auto found = m_value.find(name);
+    return found == m_value.end() ? nullptr : &*found;
+}
+
+const nlohmann::json *ObjectReader::typed(const char *name, bool matches(const nlohmann::json &), const char *expected)
+{
+    const nlohmann::json *value = any(name);
+    if (value != nullptr && !matches(*value)) {
+        fail(name, model::Reason::WrongType, std::string("give ") + expected);
+        return nullptr;
+    }
+    return value;
+}
+
+std::string ObjectReader::text(const char *name, const std::string &preset, std::size_t maxLength)
+{
+    const nlohmann::json *value = typed(
+        name,
+        [](const nlohmann::json &json) {
+            return json.is_string();
+        },
+        "a string");
+    if (value == nullptr) {
+        return preset;
+    }
+    if (value->get_ref<const std::string &>().size() > maxLength) {
+        fail(name, model::Reason::OutOfRange, "give at most " + std::to_string(maxLength) + " bytes");
+        return preset;
+    }
+    return value->get<std::string>();
+}
+
+std::string ObjectReader::requiredText(const char *name, std::size_t maxLength)
+{
+    if (any(name) == nullptr) {
+        fail(name, model::Reason::MissingField, "add this field, a string");
+        return {};
+    }
+    const std::size_t before = m_errors.size();
+    std::string result = text(name, "", maxLength);
+    if (result.empty() && m_errors.size() == before) {
+        fail(name, model::Reason::OutOfRange, "give a string that is not empty");
+    }
+    return result;
+}
+
+std::uint64_t ObjectReader::number(const char *name, const NumberRange &range)
+{
+    const nlohmann::json *value = typed(
+        name,
+        [](const nlohmann::json &json) {
+            return json.is_number();
+        },
+        "a whole number");
+    if (value == nullptr) {
+        return range.preset;
+    }
+    const bool whole = value->is_number_unsigned();
+    const std::uint64_t result = whole ? value->get<std::uint64_t>() : 0;
+    if (!whole || result < range.least || result > range.most) {
+        fail(name, model::Reason::OutOfRange, "give a whole number from " + std::to_string(range.least) + " to " + std::to_string(range.most));
+        return range.preset;
+    }
+    return result;
+}
+
+std::uint64_t ObjectReader::requiredNumber(const char *name, const NumberRange &range)
+{
+    if (any(name) == nullptr) {
+        fail(name, model::Reason::MissingField, "add this field, a whole number");
+        return range.preset;
+    }
+    return number(name, range);
+}
+
+bool ObjectReader::flag(const char *name, bool preset)
+{
+    const nlohmann::json *value = typed(
+        name,
+        [](const nlohmann::json &json) {
+            return json.is_boolean();
+        },
+        "true or false");
+    return value == nullptr ? preset : value->get<bool>();
+}
+
+const nlohmann::json *ObjectReader::object(const char *name)
+{
+    return typed(
+        name,
+        [](const nlohmann::json &json) {
+            return json.is_object();
+        },
+        "an object");
+}
+
+const nlohmann::json *ObjectReader::array(const char *name)
+{
+    return typed(
+        name,
+        [](const nlohmann::json &json) {
+            return json.is_array();
+        },
+        "an array");
+}
+
+void ObjectReader::finish()
+{
+    if (!m_value.is_object()) {
+        return;
+    }
+    for (const auto &[name, value] : m_value.items()) {
+        if (m_known.find(name) == m_known.end()) {
+            m_errors.push_back({model::Reason::UnknownField, pointerTo(name), shorten(value), "remove this field or mend its name"});
+        }
+    }
+}
+}
--- /dev/null
+++ b/Source/consensus/election.cpp
@@ -0,0 +1,178 @@
+#include "consensus/internal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemaryturn::consensus::internal
+{
+namespace
+{
+std::pair<std::uint64_t, std::uint64_t> ownPosition(const Node &node)
+{
+    if (node.witness) {
+        return {node.witnessTerm, node.witnessIndex};
+    }
+    return {lastTerm(node.log), lastIndex(node.log)};
+}
+
+std::size_t countVotes(const Node &node)
+{
+    return static_cast<std::size_t>(std::count_if(node.votes.begin(), node.votes.end(), [](const auto &vote) {
+        return vote.second;
+    }));
+}
+
+void askForVotes(Node &node, bool preliminary, std::vector<wire::ConsensusMessageT> &messages)
+{
+    for (const auto &member : node.membership.members) {
+        if (!isVoting(*member) || member->host == node.self) {
+            continue;
+        }
+        wire::VoteRequestT request;
+        request.preliminary = preliminary;
+        request.lastIndex = lastIndex(node.log);
+        request.lastTerm = lastTerm(node.log);
+        messages.push_back(makeMessage(node, member->host, request));
+        if (preliminary) {
+            ++messages.back().term; // A preliminary vote asks about the term that would follow.
+        }
+    }
+}
+
+void becomeLeader(Node &node, std::uint64_t nowMs, Output &output)
+{
+    node.role = Role::Leader;
+    node.leader = node.self;
+    node.progress.clear();
+    node.roundSentMs.clear();
+    node.round = 0;
+    node.leaseUntilMs = 0;
+    for (const auto &member : node.membership.members) {
+        if (member->host != node.self) {
+            Progress progress;
+            progress.incarnation = member->incarnation;
+            progress.next = lastIndex(node.log) + 1;
+            progress.repliedAtMs = nowMs;
+            node.progress[member->host] = progress;
+        }
+    }
+    // Only an entry of the own term proves that everything before it is committed.
+    node.termStartIndex = appendOwn(node, wire::EntryKind::Empty, {}, output);
+    startRound(node, nowMs, output);
+}
+
+void stand(Node &node, std::uint64_t nowMs, Output &output)
+{
+    ++node.term;
+    node.role = Role::Candidate;
+    node.votedFor = node.self;
+    node.votes = {{node.self, true}};
+    persistHardState(node, output);
+    resetElection(node, nowMs);
+    // The own vote must be synced before anybody counts it.
+    askForVotes(node, false, output.afterSync);
+    if (countVotes(node) >= majority(node.membership)) {
+        becomeLeader(node, nowMs, output);
+    }
+}
+}
+
+void resetElection(Node &node, std::uint64_t nowMs)
+{
+    std::uniform_int_distribution<std::uint64_t> spread(0, node.timing.electionMs);
+    node.electionDueMs = nowMs + node.timing.electionMs + spread(node.random);
+}
+
+void persistHardState(Node &node, Output &output)
+{
+    wire::HardStateT state;
+    state.term = node.term;
+    state.votedFor = node.votedFor;
+    output.persist.push_back(journalRecord(std::move(state)));
+}
+
+void becomeFollower(Node &node, std::uint64_t term, std::uint64_t nowMs, Output &output)
+{
+    if (node.role == Role::Leader) {
+        output.lostLeadership = true;
+    }
+    node.role = Role::Follower;
+    node.votes.clear();
+    if (term > node.term) {
+        node.term = term;
+        node.votedFor.clear();
+        node.leader.clear();
+        node.learntCommit = false;
+        persistHardState(node, output);
+    }
+    if (node.leader == node.self) {
+        node.leader.clear();
+    }
+    resetElection(node, nowMs);
+}
+
+void startPreVote(Node &node, std::uint64_t nowMs, Output &output)
+{
+    node.role = Role::PreCandidate;
+    node.leader.clear();
+    node.votes = {{node.self, true}};
+    resetElection(node, nowMs);
+    if (countVotes(node) >= majority(node.membership)) {
+        stand(node, nowMs, output);
+        return;
+    }
+    askForVotes(node, true, output.now);
+}
+
+void onVoteRequest(Node &node, const wire::ConsensusMessageT &message, const wire::VoteRequestT &request, std::uint64_t nowMs, Output &output)
+{
+    // A voter that heard its leader lately keeps the promise on which the leader lease rests.
+    const bool leaderAlive = node.role == Role::Leader ? holdsLease(node, nowMs) : nowMs < node.leaderHeardMs + node.timing.electionMs;
+    if (!request.preliminary && message.term > node.term && !leaderAlive) {
+        becomeFollower(node, message.term, nowMs, output);
+    }
+    const bool upToDate = std::pair(request.lastTerm, request.lastIndex) >= ownPosition(node);
+    const bool memberKnown = mayVote(node.membership, message.from, message.fromIncarnation);
+    const bool entitled = mayVote(node.membership, node.self, node.incarnation);
+    bool granted = upToDate && memberKnown && entitled && !leaderAlive;
+    if (request.preliminary) {
+        granted = granted && message.term > node.term;
+    } else {
+        granted = granted && message.term == node.term && (node.votedFor.empty() || node.votedFor == message.from);
+    }
+    if (granted && !request.preliminary) {
+        node.votedFor = message.from;
+        persistHardState(node, output);
+        resetElection(node, nowMs);
+    }
+    wire::VoteReplyT reply;
+    reply.preliminary = request.preliminary;
+    reply.granted = granted;
+    wire::ConsensusMessageT answer = makeMessage(node, message.from, reply);
+    answer.toIncarnation = message.fromIncarnation;
+    if (request.preliminary && granted) {
+        answer.term = message.term;
+    }
+    output.afterSync.push_back(std::move(answer));
+}
+
+void onVoteReply(Node &node, const wire::ConsensusMessageT &message, const wire::VoteReplyT &reply, std::uint64_t nowMs, Output &output)
+{
+    if (!mayVote(node.membership, message.from, message.fromIncarnation)) {
+        return;
+    }
+    if (reply.preliminary && node.role == Role::PreCandidate && (!reply.granted || message.term == node.term + 1)) {
+        node.votes[message.from] = reply.granted;
+        if (countVotes(node) >= majority(node.membership)) {
+            stand(node, nowMs, output);
+        }
+        return;
+    }
+    if (!reply.preliminary && node.role == Role::Candidate && message.term == node.term) {
+        node.votes[message.from] = reply.granted;
+        if (countVotes(node) >= majority(node.membership)) {
+            becomeLeader(node, nowMs, output);
+        }
+    }
+}
+}
--- /dev/null
+++ b/Source/consensus/log.cpp
@@ -0,0 +1,62 @@
+#include "consensus/log.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::consensus
+{
+std::uint64_t lastIndex(const Log &log)
+{
+    return log.snapshotIndex + log.entries.size();
+}
+
+std::uint64_t lastTerm(const Log &log)
+{
+    return log.entries.empty() ? log.snapshotTerm : log.entries.back()->term;
+}
+
+EntryPointer entryAt(const Log &log, std::uint64_t index)
+{
+    if (index <= log.snapshotIndex || index > lastIndex(log)) {
+        return nullptr;
+    }
+    return log.entries[index - log.snapshotIndex - 1];
+}
+
+std::uint64_t termAt(const Log &log, std::uint64_t index)
+{
+    if (index == log.snapshotIndex) {
+        return log.snapshotTerm;
+    }
+    const EntryPointer entry = entryAt(log, index);
+    return entry ? entry->term : 0;
+}
+
+void truncateFrom(Log &log, std::uint64_t index)
+{
+    while (!log.entries.empty() && lastIndex(log) >= index) {
+        log.entries.pop_back();
+    }
+}
+
+void dropThrough(Log &log, std::uint64_t index)
+{
+    while (!log.entries.empty() && log.snapshotIndex < index) {
+        log.entries.pop_front();
+        ++log.snapshotIndex;
+    }
+    log.snapshotIndex = std::max(log.snapshotIndex, index);
+}
+
+wire::MembershipT membershipAt(const Log &log, std::uint64_t through)
+{
+    for (std::uint64_t index = std::min(through, lastIndex(log)); index > log.snapshotIndex; --index) {
+        const EntryPointer entry = entryAt(log, index);
+        if (entry->kind == wire::EntryKind::Membership) {
+            if (const auto membership = wire::decode<wire::MembershipT>(entry->payload)) {
+                return *membership;
+            }
+        }
+    }
+    return log.snapshotMembership;
+}
+}
--- /dev/null
+++ b/Source/consensus/membership.cpp
@@ -0,0 +1,52 @@
+#include "consensus/membership.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::consensus
+{
+const wire::MemberT *findMember(const wire::MembershipT &membership, std::string_view host)
+{
+    for (const auto &member : membership.members) {
+        if (member->host == host) {
+            return member.get();
+        }
+    }
+    return nullptr;
+}
+
+bool isVoting(const wire::MemberT &member)
+{
+    return member.role != wire::MemberRole::Learner;
+}
+
+bool mayVote(const wire::MembershipT &membership, std::string_view host, std::uint64_t incarnation)
+{
+    const wire::MemberT *member = findMember(membership, host);
+    return member != nullptr && isVoting(*member) && member->incarnation == incarnation;
+}
+
+std::size_t majority(const wire::MembershipT &membership)
+{
+    const auto voters = std::count_if(membership.members.begin(), membership.members.end(), [](const auto &member) {
+        return isVoting(*member);
+    });
+    return static_cast<std::size_t>(voters) / 2 + 1;
+}
+
+bool hasDurableVoter(const wire::MembershipT &membership)
+{
+    return std::any_of(membership.members.begin(), membership.members.end(), [](const auto &member) {
+        return member->role == wire::MemberRole::Voter && member->durable;
+    });
+}
+
+bool isSingleStep(const wire::MembershipT &before, const wire::MembershipT &after)
+{
+    const auto missing = [](const wire::MembershipT &from, const wire::MembershipT &in) {
+        return std::count_if(from.members.begin(), from.members.end(), [&in](const auto &member) {
+            return isVoting(*member) && !mayVote(in, member->host, member->incarnation);
+        });
+    };
+    return missing(before, after) + missing(after, before) <= 1;
+}
+}
--- /dev/null
+++ b/Source/consensus/node.cpp
@@ -0,0 +1,265 @@
+#include "consensus/node.h"
+
+#include "consensus/internal.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::consensus
+{
+namespace
+{
+bool mayStand(const Node &node)
+{
+    const wire::MemberT *self = findMember(node.membership, node.self);
+    return !node.witness && self != nullptr && self->role == wire::MemberRole::Voter && self->incarnation == node.incarnation;
+}
+
+void takeHigherTerm(Node &node, const wire::ConsensusMessageT &message, std::uint64_t nowMs, Output &output)
+{
+    const bool asksForVote = message.body.type == wire::ConsensusBody::VoteRequest;
+    const wire::VoteReplyT *vote = message.body.AsVoteReply();
+    const bool preliminaryGrant = vote != nullptr && vote->preliminary && vote->granted;
+    if (message.term > node.term && !asksForVote && !preliminaryGrant) {
+        internal::becomeFollower(node, message.term, nowMs, output);
+    }
+}
+
+void answerOutdatedLeader(const Node &node, const wire::ConsensusMessageT &message, Output &output)
+{
+    wire::AppendReplyT reply;
+    reply.accepted = false;
+    output.afterSync.push_back(internal::makeMessage(node, message.from, reply));
+    output.afterSync.back().toIncarnation = message.fromIncarnation;
+}
+
+void dispatch(Node &node, const wire::ConsensusMessageT &message, std::uint64_t nowMs, Output &output)
+{
+    switch (message.body.type) {
+    case wire::ConsensusBody::AppendRequest:
+        internal::onAppendRequest(node, message, *message.body.AsAppendRequest(), nowMs, output);
+        return;
+    case wire::ConsensusBody::AppendReply:
+        internal::onAppendReply(node, message, *message.body.AsAppendReply(), nowMs, output);
+        return;
+    case wire::ConsensusBody::VoteRequest:
+        internal::onVoteRequest(node, message, *message.body.AsVoteRequest(), nowMs, output);
+        return;
+    case wire::ConsensusBody::VoteReply:
+        internal::onVoteReply(node, message, *message.body.AsVoteReply(), nowMs, output);
+        return;
+    case wire::ConsensusBody::SnapshotRequest:
+        internal::onSnapshotRequest(node, message, *message.body.AsSnapshotRequest(), nowMs, output);
+        return;
+    case wire::ConsensusBody::NONE:
+        return;
+    }
+}
+
+void restoreEntry(Node &node, const wire::EntryT &entry)
+{
+    if (entry.index == lastIndex(node.log) + 1) {
+        node.log.entries.push_back(std::make_shared<const wire::EntryT>(entry));
+    }
+}
+
+void restoreSnapshot(Node &node, const wire::SnapshotImageT &snapshot)
+{
+    node.log.entries.clear();
+    node.log.snapshotIndex = snapshot.lastIndex;
+    node.log.snapshotTerm = snapshot.lastTerm;
+    node.log.snapshotImage = snapshot.image;
+    if (snapshot.membership) {
+        node.log.snapshotMembership = *snapshot.membership;
+    }
+}
+
+void restoreWitness(Node &node, const wire::WitnessPositionT &position)
+{
+    node.witnessIndex = position.lastIndex;
+    node.witnessTerm = position.lastTerm;
+    if (position.membership) {
+        node.membership = *position.membership;
+    }
+}
+}
+
+void initialise(Node &node, wire::MembershipT membership, std::uint64_t nowMs)
+{
+    node.log.snapshotMembership = membership;
+    node.membership = std::move(membership);
+    // A voter forgets at a restart which leader it heard, so it keeps the promise to all for one election time.
+    node.leaderHeardMs = nowMs;
+    internal::resetElection(node, nowMs);
+}
+
+void restore(Node &node, const wire::JournalRecordT &record)
+{
+    switch (record.body.type) {
+    case wire::JournalBody::HardState:
+        node.term = record.body.AsHardState()->term;
+        node.votedFor = record.body.AsHardState()->votedFor;
+        return;
+    case wire::JournalBody::Entry:
+        restoreEntry(node, *record.body.AsEntry());
+        return;
+    case wire::JournalBody::TruncateFrom:
+        truncateFrom(node.log, record.body.AsTruncateFrom()->index);
+        return;
+    case wire::JournalBody::WitnessPosition:
+        restoreWitness(node, *record.body.AsWitnessPosition());
+        return;
+    case wire::JournalBody::SnapshotImage:
+        restoreSnapshot(node, *record.body.AsSnapshotImage());
+        return;
+    case wire::JournalBody::NONE:
+        return;
+    }
+}
+
+wire::Bytes finishRestore(Node &node, std::uint64_t nowMs)
+{
+    if (!node.witness) {
+        internal::refreshMembership(node);
+    }
+    node.commit = node.log.snapshotIndex;
+    node.applied = node.log.snapshotIndex;
+    node.persisted = lastIndex(node.log);
+    node.leaderHeardMs = nowMs;
+    internal::resetElection(node, nowMs);
+    return node.log.snapshotImage;
+}
+
+void tick(Node &node, std::uint64_t nowMs, Output &output)
+{
+    if (node.role == Role::Leader) {
+        if (nowMs >= node.nextRoundMs) {
+            internal::startRound(node, nowMs, output);
+        }
+        return;
+    }
+    if (nowMs < node.electionDueMs) {
+        return;
+    }
+    if (mayStand(node)) {
+        internal::startPreVote(node, nowMs, output);
+    } else {
+        node.leader.clear();
+        internal::resetElection(node, nowMs);
+    }
+}
+
+void receive(Node &node, const wire::ConsensusMessageT &message, std::uint64_t nowMs, Output &output)
+{
+    const bool forOther = message.to != node.self || (message.toIncarnation != 0 && message.toIncarnation != node.incarnation);
+    if (message.group != node.group || forOther || message.body.value == nullptr) {
+        return;
+    }
+    takeHigherTerm(node, message, nowMs, output);
+    const bool fromLeader = message.body.type == wire::ConsensusBody::AppendRequest || message.body.type == wire::ConsensusBody::SnapshotRequest;
+    if (fromLeader && message.term < node.term) {
+        answerOutdatedLeader(node, message, output);
+        return;
+    }
+    if (fromLeader && node.role == Role::Leader) {
+        return; // Two leaders of one term cannot be; such a message is not ours.
+    }
+    dispatch(node, message, nowMs, output);
+}
+
+std::uint64_t propose(Node &node, std::vector<wire::Bytes> payloads, std::uint64_t nowMs, Output &output)
+{
+    if (node.role != Role::Leader || payloads.empty()) {
+        return 0;
+    }
+    const std::uint64_t first = lastIndex(node.log) + 1;
+    for (wire::Bytes &payload : payloads) {
+        internal::appendOwn(node, wire::EntryKind::Application, std::move(payload), output);
+    }
+    internal::replicate(node, nowMs, output);
+    return first;
+}
+
+std::uint64_t proposeMembership(Node &node, const wire::MembershipT &membership, std::uint64_t nowMs, Output &output)
+{
+    const bool earlierOpen = node.membershipIndex > node.commit;
+    if (!leads(node) || earlierOpen || !isSingleStep(node.membership, membership)) {
+        return 0;
+    }
+    const std::uint64_t index = internal::appendOwn(node, wire::EntryKind::Membership, wire::encode(membership), output);
+    internal::replicate(node, nowMs, output);
+    return index;
+}
+
+void persisted(Node &node, std::uint64_t index, std::uint64_t term, std::uint64_t nowMs, Output &output)
+{
+    const std::uint64_t before = node.persisted;
+    // An entry that was replaced meanwhile is not what was synced.
+    if (index <= lastIndex(node.log) && termAt(node.log, index) == term) {
+        node.persisted = std::max(node.persisted, index);
+    }
+    if (node.persisted > before) {
+        internal::informWitnesses(node, nowMs, output);
+    }
+    internal::advanceCommit(node, nowMs, output);
+}
+
+void compact(Node &node, wire::Bytes image, Output &output)
+{
+    const std::uint64_t through = node.applied;
+    wire::MembershipT membership = membershipAt(node.log, through);
+    const std::uint64_t term = termAt(node.log, through);
+    dropThrough(node.log, through);
+    node.log.snapshotTerm = term;
+    node.log.snapshotMembership = std::move(membership);
+    node.log.snapshotImage = std::move(image);
+    output.persist = journalOf(node);
+    output.replaceJournal = true;
+}
+
+bool leads(const Node &node)
+{
+    return node.role == Role::Leader && node.applied >= node.termStartIndex;
+}
+
+bool holdsLease(const Node &node, std::uint64_t nowMs)
+{
+    return node.role == Role::Leader && nowMs < node.leaseUntilMs;
+}
+
+std::vector<wire::JournalRecordT> journalOf(const Node &node)
+{
+    std::vector<wire::JournalRecordT> records;
+    wire::HardStateT state;
+    state.term = node.term;
+    state.votedFor = node.votedFor;
+    records.push_back(internal::journalRecord(std::move(state)));
+    if (node.witness) {
+        wire::WitnessPositionT position;
+        position.lastIndex = node.witnessIndex;
+        position.lastTerm = node.witnessTerm;
+        position.membership = std::make_unique<wire::MembershipT>(node.membership);
+        records.push_back(internal::journalRecord(std::move(position)));
+        return records;
+    }
+    wire::SnapshotImageT snapshot;
+    snapshot.lastIndex = node.log.snapshotIndex;
+    snapshot.lastTerm = node.log.snapshotTerm;
+    snapshot.membership = std::make_unique<wire::MembershipT>(node.log.snapshotMembership);
+    snapshot.image = node.log.snapshotImage;
+    records.push_back(internal::journalRecord(std::move(snapshot)));
+    for (const EntryPointer &entry : node.log.entries) {
+        records.push_back(internal::journalRecord(*entry));
+    }
+    return records;
+}
+
+void stepDown(Node &node, std::uint64_t nowMs, Output &output)
+{
+    if (node.role != Role::Leader) {
+        return;
+    }
+    internal::becomeFollower(node, node.term, nowMs, output);
+    // The others get time to elect before this member stands again.
+    node.electionDueMs = nowMs + 4 * node.timing.electionMs;
+}
+}
--- /dev/null
+++ b/Source/consensus/replication.cpp
@@ -0,0 +1,420 @@
+#include "consensus/internal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rosemaryturn::consensus::internal
+{
+namespace
+{
+/** A reply to entries that is missing this many heartbeats is taken as lost, and the entries are sent again. */
+constexpr std::uint64_t resendHeartbeats = 3;
+/** Rounds whose sending time is remembered for the leader lease. */
+constexpr std::size_t maxRememberedRounds = 64;
+
+std::uint64_t ownMatch(const Node &node)
+{
+    return node.durable ? std::min(node.persisted, lastIndex(node.log)) : lastIndex(node.log);
+}
+
+std::uint64_t matchOf(const Node &node, const wire::MemberT &member)
+{
+    if (member.host == node.self) {
+        return ownMatch(node);
+    }
+    const auto found = node.progress.find(member.host);
+    return found != node.progress.end() && found->second.incarnation == member.incarnation ? found->second.match : 0;
+}
+
+/** @return the highest value that a majority of the voters reaches. */
+template<typename ValueOf>
+std::uint64_t majorityValue(const Node &node, ValueOf valueOf)
+{
+    std::vector<std::uint64_t> values;
+    for (const auto &member : node.membership.members) {
+        if (isVoting(*member)) {
+            values.push_back(valueOf(*member));
+        }
+    }
+    const std::size_t needed = majority(node.membership);
+    if (values.size() < needed) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end(), std::greater<>());
+    return values[needed - 1];
+}
+
+std::uint64_t durableMatch(const Node &node)
+{
+    std::uint64_t best = 0;
+    for (const auto &member : node.membership.members) {
+        if (member->role == wire::MemberRole::Voter && member->durable) {
+            best = std::max(best, matchOf(node, *member));
+        }
+    }
+    return best;
+}
+
+void extendLease(Node &node)
+{
+    const std::uint64_t acknowledged = majorityValue(node, [&node](const wire::MemberT &member) {
+        if (member.host == node.self) {
+            return node.round;
+        }
+        const auto found = node.progress.find(member.host);
+        return found != node.progress.end() && found->second.incarnation == member.incarnation ? found->second.round : 0;
+    });
+    const auto sent = node.roundSentMs.find(acknowledged);
+    if (sent != node.roundSentMs.end()) {
+        node.leaseUntilMs = std::max(node.leaseUntilMs, sent->second + node.timing.leaderLeaseMs);
+        node.roundSentMs.erase(node.roundSentMs.begin(), sent);
+    }
+}
+
+void sendSnapshot(Node &node, const wire::MemberT &member, Progress &progress, std::uint64_t nowMs, Output &output)
+{
+    wire::SnapshotRequestT request;
+    request.lastIndex = node.log.snapshotIndex;
+    request.lastTerm = node.log.snapshotTerm;
+    request.round = node.round;
+    request.membership = std::make_unique<wire::MembershipT>(node.log.snapshotMembership);
+    request.image = node.log.snapshotImage;
+    progress.waiting = true;
+    progress.sentAtMs = nowMs;
+    output.now.push_back(makeMessage(node, member.host, std::move(request)));
+    output.now.back().toIncarnation = member.incarnation;
+}
+
+void fillEntries(const Node &node, const Progress &progress, wire::AppendRequestT &request)
+{
+    std::size_t bytes = 0;
+    for (std::uint64_t index = progress.next; index <= lastIndex(node.log) && bytes < maxAppendBytes; ++index) {
+        const EntryPointer entry = entryAt(node.log, index);
+        bytes += entry->payload.size();
+        request.entries.push_back(std::make_unique<wire::EntryT>(*entry));
+    }
+}
+
+bool otherFullVoterAnswers(const Node &node, std::uint64_t nowMs)
+{
+    return std::any_of(node.membership.members.begin(), node.membership.members.end(), [&](const auto &member) {
+        const auto found = node.progress.find(member->host);
+        return member->role == wire::MemberRole::Voter && found != node.progress.end()
+            && nowMs < found->second.repliedAtMs + resendHeartbeats * node.timing.heartbeatMs;
+    });
+}
+
+/** Compares an arriving entry with the own log. @return false when the entry is already held. */
+bool takeEntry(Node &node, const wire::EntryT &entry, Output &output)
+{
+    if (entry.index <= node.log.snapshotIndex) {
+        return false;
+    }
+    const EntryPointer own = entryAt(node.log, entry.index);
+    if (own && own->term == entry.term) {
+        return false;
+    }
+    if (own) {
+        truncateFrom(node.log, entry.index);
+        node.persisted = std::min(node.persisted, entry.index - 1);
+        wire::TruncateFromT truncate;
+        truncate.index = entry.index;
+        output.persist.push_back(journalRecord(truncate));
+    }
+    node.log.entries.push_back(std::make_shared<const wire::EntryT>(entry));
+    output.persist.push_back(journalRecord(entry));
+    return true;
+}
+
+void replyToAppend(Node &node, const wire::ConsensusMessageT &message, wire::AppendReplyT reply, Output &output)
+{
+    wire::ConsensusMessageT answer = makeMessage(node, message.from, reply);
+    answer.toIncarnation = message.fromIncarnation;
+    output.afterSync.push_back(std::move(answer));
+}
+
+void followLeader(Node &node, const wire::ConsensusMessageT &message, std::uint64_t nowMs)
+{
+    node.leader = message.from;
+    node.leaderHeardMs = nowMs;
+    node.role = Role::Follower;
+    resetElection(node, nowMs);
+}
+
+void appendAsWitness(Node &node, const wire::ConsensusMessageT &message, const wire::AppendRequestT &request, Output &output)
+{
+    const bool membershipChanged = request.membership && !(*request.membership == node.membership);
+    const bool ahead = std::pair(request.lastTerm, request.lastIndex) > std::pair(node.witnessTerm, node.witnessIndex);
+    if (membershipChanged) {
+        node.membership = *request.membership;
+    }
+    if (ahead) {
+        node.witnessTerm = request.lastTerm;
+        node.witnessIndex = request.lastIndex;
+    }
+    if (ahead || membershipChanged) {
+        wire::WitnessPositionT position;
+        position.lastIndex = node.witnessIndex;
+        position.lastTerm = node.witnessTerm;
+        position.membership = std::make_unique<wire::MembershipT>(node.membership);
+        output.persist.push_back(journalRecord(std::move(position)));
+    }
+    wire::AppendReplyT reply;
+    reply.accepted = true;
+    reply.matchIndex = request.lastIndex;
+    reply.round = request.round;
+    replyToAppend(node, message, reply, output);
+}
+}
+
+std::uint64_t appendOwn(Node &node, wire::EntryKind kind, wire::Bytes payload, Output &output)
+{
+    wire::EntryT entry;
+    entry.index = lastIndex(node.log) + 1;
+    entry.term = node.term;
+    entry.kind = kind;
+    entry.payload = std::move(payload);
+    output.persist.push_back(journalRecord(entry));
+    node.log.entries.push_back(std::make_shared<const wire::EntryT>(std::move(entry)));
+    if (kind == wire::EntryKind::Membership) {
+        refreshMembership(node);
+    }
+    return lastIndex(node.log);
+}
+
+void refreshMembership(Node &node)
+{
+    node.membership = membershipAt(node.log, lastIndex(node.log));
+    node.membershipIndex = node.log.snapshotIndex;
+    for (std::uint64_t index = lastIndex(node.log); index > node.log.snapshotIndex; --index) {
+        if (entryAt(node.log, index)->kind == wire::EntryKind::Membership) {
+            node.membershipIndex = index;
+            return;
+        }
+    }
+}
+
+void applyCommitted(Node &node, Output &output)
+{
+    while (node.applied < node.commit) {
+        const EntryPointer entry = entryAt(node.log, node.applied + 1);
+        if (!entry) {
+            return;
+        }
+        ++node.applied;
+        if (entry->kind == wire::EntryKind::Application) {
+            output.committed.push_back(entry);
+        }
+    }
+}
+
+void sendAppend(Node &node, const wire::MemberT &member, std::uint64_t nowMs, Output &output)
+{
+    Progress &progress = node.progress[member.host];
+    if (progress.incarnation != member.incarnation) {
+        progress = Progress{};
+        progress.incarnation = member.incarnation;
+        progress.next = lastIndex(node.log) + 1;
+        progress.repliedAtMs = nowMs;
+    }
+    const bool witness = member.role == wire::MemberRole::Witness;
+    if (!witness && progress.next <= node.log.snapshotIndex) {
+        if (!progress.waiting || nowMs >= progress.sentAtMs + resendHeartbeats * node.timing.heartbeatMs) {
+            sendSnapshot(node, member, progress, nowMs, output);
+            return;
+        }
+    }
+    wire::AppendRequestT request;
+    request.round = node.round;
+    request.commit = node.commit;
+    request.lastIndex = lastIndex(node.log);
+    request.lastTerm = lastTerm(node.log);
+    if (witness) {
+        // A position that the own disk does not hold yet could outlive the entries and lock everybody out.
+        request.lastIndex = ownMatch(node);
+        request.lastTerm = termAt(node.log, request.lastIndex);
+        request.membership = std::make_unique<wire::MembershipT>(node.membership);
+    } else {
+        // While a snapshot is under way the heartbeat refers to nothing, so that it is not refused.
+        const std::uint64_t previous = progress.next > node.log.snapshotIndex ? progress.next - 1 : 0;
+        request.previousIndex = previous;
+        request.previousTerm = previous == 0 ? 0 : termAt(node.log, previous);
+        const bool due = nowMs >= progress.sentAtMs + resendHeartbeats * node.timing.heartbeatMs;
+        if (progress.next > node.log.snapshotIndex && (!progress.waiting || due)) {
+            fillEntries(node, progress, request);
+        }
+        if (!request.entries.empty()) {
+            progress.waiting = true;
+            progress.sentAtMs = nowMs;
+        }
+    }
+    output.now.push_back(makeMessage(node, member.host, std::move(request)));
+    output.now.back().toIncarnation = member.incarnation;
+}
+
+void startRound(Node &node, std::uint64_t nowMs, Output &output)
+{
+    ++node.round;
+    node.roundSentMs[node.round] = nowMs;
+    if (node.roundSentMs.size() > maxRememberedRounds) {
+        node.roundSentMs.erase(node.roundSentMs.begin());
+    }
+    node.nextRoundMs = nowMs + node.timing.heartbeatMs;
+    for (const auto &member : node.membership.members) {
+        if (member->host != node.self) {
+            sendAppend(node, *member, nowMs, output);
+        }
+    }
+    extendLease(node);
+    advanceCommit(node, nowMs, output);
+}
+
+void replicate(Node &node, std::uint64_t nowMs, Output &output)
+{
+    for (const auto &member : node.membership.members) {
+        if (member->host == node.self || member->role == wire::MemberRole::Witness) {
+            continue; // A witness lies behind a billed link: while another voter answers, the heartbeat tells it of positions.
+        }
+        const auto found = node.progress.find(member->host);
+        if (found == node.progress.end() || !found->second.waiting) {
+            sendAppend(node, *member, nowMs, output);
+        }
+    }
+    if (!node.durable) {
+        informWitnesses(node, nowMs, output);
+    }
+    advanceCommit(node, nowMs, output);
+}
+
+void informWitnesses(Node &node, std::uint64_t nowMs, Output &output)
+{
+    if (node.role != Role::Leader || otherFullVoterAnswers(node, nowMs)) {
+        return;
+    }
+    for (const auto &member : node.membership.members) {
+        if (member->role == wire::MemberRole::Witness && member->host != node.self) {
+            sendAppend(node, *member, nowMs, output);
+        }
+    }
+}
+
+namespace
+{
+void tellFollowers(Node &node, std::uint64_t nowMs, Output &output)
+{
+    for (const auto &member : node.membership.members) {
+        if (member->host != node.self && member->role != wire::MemberRole::Witness) {
+            sendAppend(node, *member, nowMs, output);
+        }
+    }
+}
+}
+
+void advanceCommit(Node &node, std::uint64_t nowMs, Output &output)
+{
+    if (node.role != Role::Leader) {
+        return;
+    }
+    std::uint64_t reached = majorityValue(node, [&node](const wire::MemberT &member) {
+        return matchOf(node, member);
+    });
+    if (hasDurableVoter(node.membership)) {
+        reached = std::min(reached, durableMatch(node));
+    }
+    if (reached > node.commit && termAt(node.log, reached) == node.term) {
+        node.commit = reached;
+        applyCommitted(node, output);
+        if (node.promptCommit) {
+            tellFollowers(node, nowMs, output);
+        }
+    }
+}
+
+void onAppendRequest(Node &node, const wire::ConsensusMessageT &message, const wire::AppendRequestT &request, std::uint64_t nowMs, Output &output)
+{
+    followLeader(node, message, nowMs);
+    if (node.witness) {
+        appendAsWitness(node, message, request, output);
+        return;
+    }
+    wire::AppendReplyT reply;
+    reply.round = request.round;
+    const bool holdsPrevious = request.previousIndex <= lastIndex(node.log)
+        && (request.previousIndex < node.log.snapshotIndex || termAt(node.log, request.previousIndex) == request.previousTerm);
+    if (!holdsPrevious) {
+        reply.accepted = false;
+        reply.matchIndex = std::min(lastIndex(node.log), request.previousIndex - 1);
+        replyToAppend(node, message, reply, output);
+        return;
+    }
+    bool changed = false;
+    for (const auto &entry : request.entries) {
+        changed = takeEntry(node, *entry, output) || changed;
+    }
+    if (changed) {
+        refreshMembership(node);
+    }
+    const std::uint64_t known = request.previousIndex + request.entries.size();
+    node.commit = std::max(node.commit, std::min(request.commit, known));
+    applyCommitted(node, output);
+    // A leader counts commits only from its own term on, so this commit covers all that was ever committed.
+    node.learntCommit = node.learntCommit || (request.commit > 0 && node.commit >= request.commit && termAt(node.log, node.commit) == message.term);
+    reply.accepted = true;
+    reply.matchIndex = known;
+    replyToAppend(node, message, reply, output);
+}
+
+void onAppendReply(Node &node, const wire::ConsensusMessageT &message, const wire::AppendReplyT &reply, std::uint64_t nowMs, Output &output)
+{
+    const wire::MemberT *member = findMember(node.membership, message.from);
+    if (node.role != Role::Leader || message.term != node.term || member == nullptr || member->incarnation != message.fromIncarnation) {
+        return;
+    }
+    Progress &progress = node.progress[message.from];
+    progress.repliedAtMs = nowMs;
+    progress.round = std::max(progress.round, reply.round);
+    if (reply.accepted) {
+        if (reply.matchIndex > progress.match) {
+            progress.match = std::min(reply.matchIndex, lastIndex(node.log));
+            progress.waiting = false;
+        }
+        progress.next = std::max(progress.next, progress.match + 1);
+        if (member->role != wire::MemberRole::Witness && progress.next <= lastIndex(node.log) && !progress.waiting) {
+            sendAppend(node, *member, nowMs, output);
+        }
+    } else if (reply.matchIndex >= progress.match) {
+        progress.next = std::max(progress.match, reply.matchIndex) + 1;
+        progress.waiting = false;
+        sendAppend(node, *member, nowMs, output);
+    }
+    extendLease(node);
+    advanceCommit(node, nowMs, output);
+}
+
+void onSnapshotRequest(Node &node, const wire::ConsensusMessageT &message, const wire::SnapshotRequestT &request, std::uint64_t nowMs, Output &output)
+{
+    followLeader(node, message, nowMs);
+    wire::AppendReplyT reply;
+    reply.accepted = true;
+    reply.round = request.round;
+    reply.matchIndex = request.lastIndex;
+    if (request.lastIndex <= node.commit || node.witness) {
+        replyToAppend(node, message, reply, output);
+        return;
+    }
+    node.log.entries.clear();
+    node.log.snapshotIndex = request.lastIndex;
+    node.log.snapshotTerm = request.lastTerm;
+    node.log.snapshotMembership = request.membership ? *request.membership : wire::MembershipT{};
+    node.log.snapshotImage = request.image;
+    node.commit = request.lastIndex;
+    node.applied = request.lastIndex;
+    node.persisted = 0;
+    refreshMembership(node);
+    output.restored = request.image;
+    output.committed.clear();
+    output.persist = journalOf(node);
+    output.replaceJournal = true;
+    replyToAppend(node, message, reply, output);
+}
+}
--- /dev/null
+++ b/Source/control/cellattempts.cpp
@@ -0,0 +1,134 @@
+#include "control/cellinternal.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::control::internal
+{
+namespace
+{
+/** Ends that do not count against the attempts of a task: it was not the task's or the worker's failure. */
+bool isFree(model::Reason reason)
+{
+    return reason == model::Reason::Preempted || reason == model::Reason::GangIncomplete;
+}
+
+void proposeRequeue(Cell &cell, const model::Task &task, LiveTask &live, model::Reason reason, std::uint64_t delayMs, const Now &now, CellOutput &output)
+{
+    live.ending = true;
+    if (delayMs > 0) {
+        live.delayedUntilMs = now.monotonicMs + delayMs;
+        cell.leader.delayed.emplace(live.delayedUntilMs, task.id);
+    }
+    count(cell.metrics, reason);
+    wire::TaskRequeuedT record;
+    record.task = task.id;
+    record.attempt = task.attempt;
+    record.reason = static_cast<std::uint16_t>(reason);
+    output.proposals.push_back(wire::encodeChange(record));
+}
+
+/** @return the outcome when an attempt is the last one. */
+wire::Outcome outcomeOf(AttemptEnd end, bool idempotent)
+{
+    switch (end) {
+    case AttemptEnd::NeverBegan:
+        return wire::Outcome::NotRun;
+    case AttemptEnd::Failed:
+        return wire::Outcome::Failed;
+    case AttemptEnd::Stopped:
+        return wire::Outcome::Stopped;
+    case AttemptEnd::Lost:
+        // Idempotent work that was lost is known not to run any more and did not answer.
+        return idempotent ? wire::Outcome::Failed : wire::Outcome::Unknown;
+    }
+    return wire::Outcome::Unknown;
+}
+
+/** @return None when the attempt may be repeated, else why not. */
+model::Reason repeatRefusal(Cell &cell, const model::Task &task, const LiveTask &live, AttemptEnd end, model::Reason reason)
+{
+    if (task.cancelled) {
+        return model::Reason::Cancelled;
+    }
+    if (reason == model::Reason::RunTimeExceeded || reason == model::Reason::ReplacedByConfig) {
+        return reason;
+    }
+    const bool safe = end == AttemptEnd::NeverBegan || task.spec.idempotent || task.spec.kind == wire::TaskKind::Service;
+    if (!safe) {
+        return reason;
+    }
+    if (task.spec.kind == wire::TaskKind::Service || isFree(reason)) {
+        return model::Reason::None;
+    }
+    const QualifiedService service = findQualified(*cell.config, task.spec.service);
+    const std::uint32_t attempts = service.declaration == nullptr ? cell.options.retry.maxAttempts : service.declaration->attempts;
+    if (live.countedAttempts >= attempts) {
+        return model::Reason::AttemptsExhausted;
+    }
+    return policy::takeRetry(cell.leader.budgets[task.spec.service]) ? model::Reason::None : model::Reason::RetryBudgetSpent;
+}
+}
+
+void proposeEnd(Cell &cell, const model::Task &task, wire::Outcome outcome, model::Reason reason, const wire::Bytes &answer, const Now &now, CellOutput &output)
+{
+    const auto live = cell.leader.live.find(task.id);
+    if (live != cell.leader.live.end()) {
+        live->second.ending = true;
+    }
+    wire::TaskEndedT record;
+    record.task = task.id;
+    record.attempt = task.attempt;
+    record.atMs = now.wallMs;
+    record.outcome = outcome;
+    record.reason = static_cast<std::uint16_t>(reason);
+    record.answer = answer;
+    output.proposals.push_back(wire::encodeChange(std::move(record)));
+}
+
+void attemptEnded(Cell &cell, model::TaskId id, AttemptEnd end, model::Reason reason, const wire::Bytes &answer, const Now &now, CellOutput &output)
+{
+    const auto found = cell.leader.live.find(id);
+    if (found == cell.leader.live.end() || found->second.ending) {
+        return;
+    }
+    const model::Task &task = cell.state.tasks.at(id);
+    LiveTask &live = found->second;
+    if (!isFree(reason)) {
+        ++live.countedAttempts;
+    }
+    if (end != AttemptEnd::Stopped && std::find(live.avoid.begin(), live.avoid.end(), live.worker) == live.avoid.end()) {
+        live.avoid.push_back(live.worker);
+    }
+    const model::Reason refusal = repeatRefusal(cell, task, live, end, reason);
+    if (refusal == model::Reason::None) {
+        const std::uint64_t delayMs = isFree(reason) ? 0 : policy::backoffMs(cell.options.retry, live.countedAttempts, cell.random);
+        proposeRequeue(cell, task, live, reason, delayMs, now, output);
+    } else {
+        const bool cancelledUnstarted = refusal == model::Reason::Cancelled && end == AttemptEnd::NeverBegan;
+        proposeEnd(cell, task, cancelledUnstarted ? wire::Outcome::NotRun : outcomeOf(end, task.spec.idempotent), refusal, answer, now, output);
+    }
+    if (task.spec.kind == wire::TaskKind::Gang) {
+        breakGang(cell, task);
+    }
+}
+
+void requestStop(Cell &cell, model::TaskId id, model::Reason reason)
+{
+    const auto live = cell.leader.live.find(id);
+    if (live != cell.leader.live.end() && live->second.stopReason == model::Reason::None) {
+        live->second.stopReason = reason;
+    }
+}
+
+void breakGang(Cell &cell, const model::Task &member)
+{
+    for (const model::Task *other : tasksOf(cell.state, member.spec.key)) {
+        if (other->id == member.id || other->phase == wire::TaskPhase::Ended) {
+            continue;
+        }
+        if (other->phase == wire::TaskPhase::Dispatched) {
+            requestStop(cell, other->id, model::Reason::GangIncomplete);
+        }
+    }
+}
+}
--- /dev/null
+++ b/Source/control/cellleader.cpp
@@ -0,0 +1,441 @@
+#include "control/cell.h"
+#include "control/cellinternal.h"
+
+#include "model/task.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::control
+{
+namespace
+{
+using namespace internal;
+
+/** Longest that a start or lease given by an earlier leader can still keep a task running. */
+std::uint64_t inheritedLeaseMs(const CellOptions &options)
+{
+    constexpr std::uint64_t hundred = 100;
+    return (options.startWindowMs + options.taskLeaseMs) * (hundred + options.driftPercent) / hundred;
+}
+
+void inheritDispatched(Cell &cell, const model::Task &task, LiveTask &live, const Now &now)
+{
+    const auto worker = policy::findWorker(cell.leader.pool, task.worker);
+    if (worker) {
+        occupyWorker(cell, task, live, *worker);
+    }
+    live.leaseUntilMs = now.monotonicMs + inheritedLeaseMs(cell.options);
+    live.startHeardMs = now.monotonicMs;
+    live.dispatchedMs = now.monotonicMs;
+    live.countedAttempts = task.attempt;
+    if (task.cancelled) {
+        live.stopReason = model::Reason::Cancelled;
+    }
+}
+
+void setTeams(Cell &cell)
+{
+    for (const auto &[environment, history] : cell.config->environments) {
+        for (const config::TeamDeclaration &team : history.document.teams) {
+            policy::setTeam(cell.leader.queue, qualify(environment, team.name), team.quota, team.maxQueued);
+        }
+    }
+}
+
+void noteWait(Cell &cell, const model::Task &task, const LiveTask &live, const Now &now)
+{
+    const std::uint64_t waited = now.monotonicMs - live.acceptedMs;
+    if (task.attempt == 1) {
+        (task.spec.urgent ? cell.metrics.urgentWait : cell.metrics.normalWait).note(waited);
+    }
+}
+
+void sendStart(Cell &cell, model::TaskId id, const Now &now, CellOutput &output)
+{
+    const model::Task &task = cell.state.tasks.at(id);
+    LiveTask &live = cell.leader.live.at(id);
+    const LiveWorker &worker = cell.leader.workers[live.worker];
+    const wire::WorkerRegisteredT &shape = cell.state.workers.at(task.worker);
+    live.placing = false;
+    live.confirmed = false;
+    live.seenIn = 0;
+    live.dispatchedMs = now.monotonicMs;
+    live.startHeardMs = worker.heardMs;
+    // Counted from the announcement, since the worker takes no start that refers to an older one than its window.
+    live.leaseUntilMs = worker.heardMs + inheritedLeaseMs(cell.options);
+    StartOrder order;
+    order.worker = task.worker;
+    order.address = shape.address;
+    order.port = shape.port;
+    order.incarnation = task.incarnation;
+    order.task = id;
+    order.attempt = task.attempt;
+    order.term = cell.leader.term;
+    order.announcement = worker.announcement;
+    order.windowMs = cell.options.startWindowMs;
+    order.leaseMs = cell.options.taskLeaseMs;
+    order.spec = task.spec;
+    output.starts.push_back(std::move(order));
+    ++cell.metrics.dispatched;
+    noteWait(cell, task, live, now);
+}
+
+void onAccepted(Cell &cell, const Applied &applied, const Now &now, CellOutput &output)
+{
+    for (const model::TaskId id : applied.accepted) {
+        const model::Task &task = cell.state.tasks.at(id);
+        adoptTask(cell, task, now);
+        ++cell.metrics.accepted;
+    }
+    if (applied.accepted.empty()) {
+        return;
+    }
+    const model::Task &first = cell.state.tasks.at(applied.accepted.front());
+    wakeQueued(cell, first.id, now);
+    answerSubmits(cell, first.spec.key, now, output);
+}
+
+void onRefusedPlacement(Cell &cell, model::TaskId id, const Now &now)
+{
+    const auto live = cell.leader.live.find(id);
+    const auto task = cell.state.tasks.find(id);
+    if (live == cell.leader.live.end() || task == cell.state.tasks.end()) {
+        return;
+    }
+    live->second.placing = false;
+    releaseWorker(cell, task->second, live->second);
+    if (task->second.phase == wire::TaskPhase::Queued) {
+        wakeQueued(cell, id, now);
+    }
+}
+
+void onRequeued(Cell &cell, model::TaskId id, const Now &now)
+{
+    const model::Task &task = cell.state.tasks.at(id);
+    LiveTask &live = cell.leader.live.at(id);
+    releaseWorker(cell, task, live);
+    live.ending = false;
+    live.stopReason = model::Reason::None;
+    live.correction = policy::Correction::None;
+    ++cell.metrics.requeued;
+    wakeQueued(cell, id, now);
+}
+
+void onEnded(Cell &cell, model::TaskId id, const Now &now, CellOutput &output)
+{
+    const model::Task &task = cell.state.tasks.at(id);
+    const auto live = cell.leader.live.find(id);
+    if (live != cell.leader.live.end()) {
+        // A task whose fate is unknown keeps its place until its lease is over; it is proposed only then.
+        releaseWorker(cell, task, live->second);
+        leaveQueue(cell, task, live->second);
+        dropReservation(cell, id);
+        cell.leader.live.erase(live);
+    }
+    if (task.outcome == wire::Outcome::Answered) {
+        ++cell.metrics.answered;
+    }
+    count(cell.metrics, task.reason);
+    resultStored(cell, id, output);
+    answerWaiters(cell, task.spec.key, output);
+    if (task.spec.kind == wire::TaskKind::Gang) {
+        const auto members = tasksOf(cell.state, task.spec.key);
+        const bool unfinished = std::any_of(members.begin(), members.end(), [](const model::Task *member) {
+            return member->phase == wire::TaskPhase::Queued;
+        });
+        if (unfinished) {
+            wakeQueued(cell, members.front()->id, now);
+        }
+    }
+}
+
+void onCancelled(Cell &cell, model::TaskId id)
+{
+    requestStop(cell, id, model::Reason::Cancelled);
+}
+
+void answerLost(CellOutput &output, Token token)
+{
+    wire::ReplyT reply;
+    reply.error = static_cast<std::uint16_t>(model::Reason::LeadershipLost);
+    internal::reply(output, token, std::move(reply));
+}
+
+void releaseDelayed(Cell &cell, const Now &now)
+{
+    auto &delayed = cell.leader.delayed;
+    while (!delayed.empty() && delayed.begin()->first <= now.monotonicMs) {
+        const model::TaskId id = delayed.begin()->second;
+        delayed.erase(delayed.begin());
+        wakeQueued(cell, id, now);
+    }
+}
+
+void expireQueued(Cell &cell, const Now &now, CellOutput &output)
+{
+    auto &deadlines = cell.leader.queueDeadlines;
+    while (!deadlines.empty() && deadlines.begin()->first <= now.monotonicMs) {
+        const model::TaskId id = deadlines.begin()->second;
+        deadlines.erase(deadlines.begin());
+        const auto task = cell.state.tasks.find(id);
+        const auto live = cell.leader.live.find(id);
+        const bool waits = task != cell.state.tasks.end() && task->second.phase == wire::TaskPhase::Queued && live != cell.leader.live.end()
+            && !live->second.placing && !live->second.ending;
+        if (waits) {
+            proposeEnd(cell, task->second, wire::Outcome::NotRun, model::Reason::QueueDeadline, {}, now, output);
+        }
+    }
+}
+
+void proposeRetention(Cell &cell, const Now &now, CellOutput &output)
+{
+    constexpr std::uint64_t retentionEveryMs = 30000;
+    if (now.monotonicMs < cell.leader.nextRetentionMs) {
+        return;
+    }
+    cell.leader.nextRetentionMs = now.monotonicMs + retentionEveryMs;
+    if (cell.state.tasks.empty()) {
+        return;
+    }
+    wire::RetentionPassedT record;
+    record.answersBeforeMs = now.wallMs > cell.options.answersKeptMs ? now.wallMs - cell.options.answersKeptMs : 0;
+    record.keysBeforeMs = now.wallMs > cell.options.keysKeptMs ? now.wallMs - cell.options.keysKeptMs : 0;
+    output.proposals.push_back(wire::encodeChange(record));
+}
+}
+
+namespace internal
+{
+LiveTask &adoptTask(Cell &cell, const model::Task &task, const Now &now)
+{
+    LiveTask &live = cell.leader.live[task.id];
+    live.need = needFor(cell, task.spec);
+    live.acceptedMs = now.monotonicMs;
+    if (task.spec.queueMs > 0 && task.phase == wire::TaskPhase::Queued) {
+        cell.leader.queueDeadlines.emplace(now.monotonicMs + task.spec.queueMs, task.id);
+    }
+    noteInstance(cell, task);
+    return live;
+}
+
+void wakeQueued(Cell &cell, model::TaskId id, const Now &now)
+{
+    const auto found = cell.state.tasks.find(id);
+    if (found == cell.state.tasks.end()) {
+        return;
+    }
+    // A gang queues by its first member that has not ended, once all of them wait.
+    const model::Task *representative = nullptr;
+    for (const model::Task *member : tasksOf(cell.state, found->second.spec.key)) {
+        if (member->phase == wire::TaskPhase::Ended) {
+            continue;
+        }
+        const auto live = cell.leader.live.find(member->id);
+        if (member->phase == wire::TaskPhase::Dispatched || live == cell.leader.live.end() || live->second.placing || live->second.ending
+            || live->second.ticket != 0 || live->second.delayedUntilMs > now.monotonicMs) {
+            return;
+        }
+        representative = representative == nullptr ? member : representative;
+    }
+    if (representative == nullptr) {
+        return;
+    }
+    LiveTask &live = cell.leader.live.at(representative->id);
+    const wire::TaskSpecT &spec = representative->spec;
+    live.ticket = policy::enqueue(cell.leader.queue, spec.team, spec.service, representative->id, spec.urgent);
+    cell.leader.scheduleNeeded = true;
+}
+
+void leaveQueue(Cell &cell, const model::Task &task, LiveTask &live)
+{
+    if (live.ticket != 0) {
+        policy::forget(cell.leader.queue, task.spec.team);
+        live.ticket = 0;
+    }
+}
+
+void occupyWorker(Cell &cell, const model::Task &task, LiveTask &live, policy::WorkerIndex worker)
+{
+    live.worker = worker;
+    live.occupying = true;
+    policy::occupy(cell.leader.pool, worker, live.need);
+    policy::charge(cell.leader.queue, task.spec.team, live.need);
+    cell.leader.workers[worker].tasks.insert(task.id);
+    ++cell.leader.runningOf[task.spec.service];
+    auto &spread = cell.leader.spread[task.spec.service];
+    ++spread["rack:" + cell.leader.pool.workers[worker].rack];
+    ++spread[cell.leader.pool.workers[worker].id];
+}
+
+void releaseWorker(Cell &cell, const model::Task &task, LiveTask &live)
+{
+    if (!live.occupying) {
+        return;
+    }
+    live.occupying = false;
+    policy::vacate(cell.leader.pool, live.worker, live.need);
+    policy::discharge(cell.leader.queue, task.spec.team, live.need);
+    cell.leader.workers[live.worker].tasks.erase(task.id);
+    --cell.leader.runningOf[task.spec.service];
+    auto &spread = cell.leader.spread[task.spec.service];
+    --spread["rack:" + cell.leader.pool.workers[live.worker].rack];
+    --spread[cell.leader.pool.workers[live.worker].id];
+    live.need = needFor(cell, task.spec);
+    cell.leader.scheduleNeeded = true;
+}
+
+policy::WorkerIndex takeWorkerUp(Cell &cell, const wire::WorkerRegisteredT &shape)
+{
+    const policy::WorkerIndex index = policy::upsertWorker(cell.leader.pool, shape.worker, shape.rack, model::offerOf(shape));
+    if (cell.leader.workers.size() <= index) {
+        cell.leader.workers.resize(index + 1);
+    }
+    policy::setTotal(cell.leader.queue, cell.leader.pool.totalOffer);
+    return index;
+}
+}
+
+void beginLeading(Cell &cell, std::uint64_t term, const Now &now, CellOutput &output)
+{
+    cell.leader = Leader{};
+    cell.leader.active = true;
+    cell.leader.term = term;
+    cell.leader.quarantine.policy = cell.options.quarantine;
+    cell.leader.rate.windowStartMs = now.monotonicMs;
+    ++cell.metrics.elections;
+    setTeams(cell);
+    for (const auto &[name, shape] : cell.state.workers) {
+        cell.leader.workers[takeWorkerUp(cell, shape)].incarnation = shape.incarnation;
+    }
+    std::vector<model::TaskId> waiting;
+    for (const auto &[id, task] : cell.state.tasks) {
+        if (task.phase == wire::TaskPhase::Ended) {
+            continue;
+        }
+        LiveTask &live = adoptTask(cell, task, now);
+        if (task.phase == wire::TaskPhase::Dispatched) {
+            inheritDispatched(cell, task, live, now);
+        } else {
+            waiting.push_back(id);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    for (const model::TaskId id : waiting) {
+        wakeQueued(cell, id, now);
+    }
+    static_cast<void>(output);
+}
+
+void endLeading(Cell &cell, CellOutput &output)
+{
+    for (const auto &[key, submits] : cell.leader.pendingSubmits) {
+        for (const PendingSubmit &submit : submits) {
+            answerLost(output, submit.token);
+        }
+    }
+    for (const auto &[worker, announcements] : cell.leader.pendingAnnouncements) {
+        for (const PendingAnnouncement &announcement : announcements) {
+            answerLost(output, announcement.token);
+        }
+    }
+    for (const auto &[token, open] : cell.leader.openResults) {
+        answerLost(output, token);
+    }
+    for (const auto &[key, waiters] : cell.leader.waiters) {
+        for (const Waiter &waiter : waiters) {
+            answerLost(output, waiter.token);
+        }
+    }
+    cell.leader = Leader{};
+}
+
+void applyRecord(Cell &cell, const wire::RecordT &record, const Now &now, CellOutput &output)
+{
+    ++cell.metrics.records;
+    const Applied applied = apply(cell.state, record);
+    if (!cell.leader.active) {
+        return;
+    }
+    for (const std::string &worker : applied.workers) {
+        workerChanged(cell, worker, now, output);
+    }
+    onAccepted(cell, applied, now, output);
+    if (record.change.type == wire::Change::TasksAccepted && applied.accepted.empty() && !record.change.AsTasksAccepted()->specs.empty()) {
+        answerSubmits(cell, record.change.AsTasksAccepted()->specs.front()->key, now, output);
+    }
+    for (const model::TaskId id : applied.refused) {
+        onRefusedPlacement(cell, id, now);
+    }
+    for (const model::TaskId id : applied.dispatched) {
+        sendStart(cell, id, now, output);
+    }
+    for (const model::TaskId id : applied.requeued) {
+        onRequeued(cell, id, now);
+    }
+    for (const model::TaskId id : applied.cancelled) {
+        onCancelled(cell, id);
+    }
+    for (const model::TaskId id : applied.ended) {
+        onEnded(cell, id, now, output);
+    }
+}
+
+void handleRequest(Cell &cell, Token token, const wire::RequestT &request, const Now &now, bool leaseHeld, CellOutput &output)
+{
+    // Without the lease another leader may decide already; renewals and reads would not be safe.
+    if (!cell.leader.active || !leaseHeld) {
+        refuse(cell, output, token, model::Reason::NoLeader);
+        return;
+    }
+    switch (request.operation) {
+    case wire::Operation::Submit:
+        submit(cell, token, request, now, output);
+        return;
+    case wire::Operation::Query:
+        query(cell, token, request, now, output);
+        return;
+    case wire::Operation::Cancel:
+        cancel(cell, token, request, now, output);
+        return;
+    case wire::Operation::Announce:
+        announce(cell, token, *request.announcement, now, output);
+        return;
+    case wire::Operation::Results:
+        takeResults(cell, token, request, now, output);
+        return;
+    default:
+        refuse(cell, output, token, model::Reason::UnknownField);
+        return;
+    }
+}
+
+void tickCell(Cell &cell, const Now &now, bool leaseHeld, CellOutput &output)
+{
+    if (!cell.leader.active) {
+        return;
+    }
+    expireWaiters(cell, now, output);
+    if (!leaseHeld) {
+        return;
+    }
+    releaseDelayed(cell, now);
+    expireQueued(cell, now, output);
+    expireLeases(cell, now, output);
+    expireReservations(cell, now);
+    refreshEligibility(cell, now);
+    reconcileServices(cell, now, output);
+    proposeRetention(cell, now, output);
+    schedule(cell, now, output);
+}
+
+void configChanged(Cell &cell, const Now &now)
+{
+    if (!cell.leader.active) {
+        return;
+    }
+    setTeams(cell);
+    cell.leader.nextEligibilityMs = now.monotonicMs;
+    cell.leader.nextReconcileMs = now.monotonicMs;
+    cell.leader.scheduleNeeded = true;
+}
+}
--- /dev/null
+++ b/Source/control/cellscheduling.cpp
@@ -0,0 +1,328 @@
+#include "control/cellinternal.h"
+
+#include "model/task.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace rosemaryturn::control::internal
+{
+namespace
+{
+/** Placements that one record carries at most, which bounds the time of a pass. */
+constexpr std::size_t maxPlacementsPerPass = 512;
+/** Shapes remembered as not placeable within one pass. */
+constexpr std::size_t maxFailedShapes = 16;
+/** Workers looked at for preemption. */
+constexpr std::size_t maxPreemptionScan = 64;
+
+/** What one pass over the queue collects. */
+struct Pass
+{
+    wire::TasksDispatchedT record;
+    std::vector<std::pair<model::Resources, policy::PlacementPolicy>> failedShapes;
+};
+
+bool knownToFail(const Pass &pass, const policy::PlacementQuery &query)
+{
+    return std::any_of(pass.failedShapes.begin(), pass.failedShapes.end(), [&query](const auto &failed) {
+        return failed.second == query.policy && model::fits(failed.first, query.need);
+    });
+}
+
+policy::SpreadCost spreadCostOf(const Cell &cell, const std::string &service)
+{
+    const auto found = cell.leader.spread.find(service);
+    if (found == cell.leader.spread.end()) {
+        return {};
+    }
+    return [&counts = found->second](const policy::PooledWorker &worker) {
+        constexpr std::uint64_t rackWeight = 1U << 20U;
+        const auto rack = counts.find("rack:" + worker.rack);
+        const auto self = counts.find(worker.id);
+        return (rack == counts.end() ? 0 : rack->second * rackWeight) + (self == counts.end() ? 0 : self->second);
+    };
+}
+
+policy::PlacementQuery queryFor(const Cell &cell, const model::Task &task, const LiveTask &live, const Now &now)
+{
+    policy::PlacementQuery query;
+    query.need = live.need;
+    query.idempotent = task.spec.idempotent;
+    query.reservation = task.id;
+    query.avoid = live.avoid.empty() ? nullptr : &live.avoid;
+    const QualifiedService service = findQualified(*cell.config, task.spec.service);
+    query.policy = service.declaration == nullptr ? policy::PlacementPolicy::Pack : service.declaration->placement;
+    if (query.policy == policy::PlacementPolicy::Spread) {
+        query.spreadCost = spreadCostOf(cell, task.spec.service);
+    }
+    // Short work may use withheld workers as long as it is sure to be gone before the reservation ends.
+    for (const auto &[number, reservation] : cell.leader.reservations) {
+        query.backfill = task.spec.maxRunMs > 0 && now.monotonicMs + task.spec.maxRunMs * 2ULL < reservation.untilMs;
+    }
+    return query;
+}
+
+void place(Cell &cell, const model::Task &task, LiveTask &live, policy::WorkerIndex worker, Pass &pass)
+{
+    const std::string &name = cell.leader.pool.workers[worker].id;
+    live.ticket = 0;
+    live.placing = true;
+    occupyWorker(cell, task, live, worker);
+    auto placement = std::make_unique<wire::PlacementT>();
+    placement->task = task.id;
+    placement->attempt = task.attempt + 1;
+    placement->worker = name;
+    placement->incarnation = cell.state.workers.at(name).incarnation;
+    pass.record.placements.push_back(std::move(placement));
+    ++cell.metrics.decisions;
+}
+
+void reserve(Cell &cell, model::TaskId task, std::vector<policy::WorkerIndex> workers, std::uint64_t untilMs)
+{
+    for (const policy::WorkerIndex worker : workers) {
+        cell.leader.pool.workers[worker].reservedFor = task;
+    }
+    cell.leader.reservations[cell.leader.nextReservation++] = {task, untilMs, std::move(workers)};
+}
+
+bool holdsReservation(const Cell &cell, model::TaskId task)
+{
+    return std::any_of(cell.leader.reservations.begin(), cell.leader.reservations.end(), [task](const auto &entry) {
+        return entry.second.task == task;
+    });
+}
+
+std::vector<const model::Task *> openMembers(const Cell &cell, const std::string &key)
+{
+    std::vector<const model::Task *> members = tasksOf(cell.state, key);
+    std::erase_if(members, [](const model::Task *member) {
+        return member->phase == wire::TaskPhase::Ended;
+    });
+    return members;
+}
+
+/** Chooses the workers that would hold the gang if all other work left them, fullest promise first. */
+std::vector<policy::WorkerIndex> workersForGang(const Cell &cell, const std::vector<model::Resources> &needs)
+{
+    std::vector<policy::WorkerIndex> order;
+    for (policy::WorkerIndex index = 0; index < cell.leader.pool.workers.size(); ++index) {
+        const policy::PooledWorker &worker = cell.leader.pool.workers[index];
+        if (worker.eligible && worker.reservedFor == 0) {
+            order.push_back(index);
+        }
+    }
+    std::sort(order.begin(), order.end(), [&cell](policy::WorkerIndex a, policy::WorkerIndex b) {
+        return policy::freeOf(cell.leader.pool.workers[a]).cpuMillis > policy::freeOf(cell.leader.pool.workers[b]).cpuMillis;
+    });
+    std::vector<policy::WorkerIndex> chosen;
+    std::size_t next = 0;
+    for (const policy::WorkerIndex index : order) {
+        model::Resources rest = cell.leader.pool.workers[index].offer;
+        bool used = false;
+        while (next < needs.size() && model::fits(needs[next], rest)) {
+            rest = rest - needs[next++];
+            used = true;
+        }
+        if (used) {
+            chosen.push_back(index);
+        }
+        if (next == needs.size()) {
+            return chosen;
+        }
+    }
+    return {};
+}
+
+bool placeGang(Cell &cell, const policy::NextTask &next, const model::Task &first, const Now &now, Pass &pass)
+{
+    const auto members = openMembers(cell, first.spec.key);
+    std::vector<model::Resources> needs;
+    model::Resources all;
+    for (const model::Task *member : members) {
+        needs.push_back(cell.leader.live.at(member->id).need);
+        all = all + needs.back();
+    }
+    if (!policy::withinQuota(cell.leader.queue, first.spec.team, all)) {
+        return false;
+    }
+    const LiveTask &live = cell.leader.live.at(first.id);
+    const auto chosen = policy::chooseAll(cell.leader.pool, needs, queryFor(cell, first, live, now));
+    if (chosen.empty()) {
+        const bool patient = now.monotonicMs < live.acceptedMs + cell.options.gangPatienceMs;
+        if (!patient && cell.leader.reservations.empty()) {
+            auto workers = workersForGang(cell, needs);
+            if (!workers.empty()) {
+                reserve(cell, first.id, std::move(workers), now.monotonicMs + cell.options.gangReservationMs);
+            }
+        }
+        return false;
+    }
+    policy::take(cell.leader.queue, next, true);
+    dropReservation(cell, first.id);
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        place(cell, *members[i], cell.leader.live.at(members[i]->id), chosen[i], pass);
+    }
+    return true;
+}
+
+bool mayGiveWay(const model::Task &task, const LiveTask &live)
+{
+    return task.spec.kind == wire::TaskKind::Batch && !task.spec.urgent && task.spec.idempotent && live.stopReason == model::Reason::None && live.confirmed;
+}
+
+/** @return the tasks that would have to leave the worker, or nothing when even that is not enough. */
+std::optional<std::vector<model::TaskId>> victimsOn(const Cell &cell, policy::WorkerIndex index, const model::Resources &need)
+{
+    model::Resources rest = policy::freeOf(cell.leader.pool.workers[index]);
+    std::vector<model::TaskId> victims;
+    for (const model::TaskId id : cell.leader.workers[index].tasks) {
+        if (model::fits(need, rest)) {
+            break;
+        }
+        const LiveTask &live = cell.leader.live.at(id);
+        if (mayGiveWay(cell.state.tasks.at(id), live)) {
+            rest = rest + live.need;
+            victims.push_back(id);
+        }
+    }
+    return model::fits(need, rest) ? std::optional(victims) : std::nullopt;
+}
+
+/** Stops batch work so that an urgent task gets a worker within the time that its stop takes. */
+void preempt(Cell &cell, const model::Task &task, const model::Resources &need, const Now &now)
+{
+    if (holdsReservation(cell, task.id)) {
+        return;
+    }
+    std::optional<std::vector<model::TaskId>> best;
+    policy::WorkerIndex bestWorker = 0;
+    std::size_t looked = 0;
+    for (policy::WorkerIndex index = 0; index < cell.leader.pool.workers.size() && looked < maxPreemptionScan; ++index) {
+        const policy::PooledWorker &worker = cell.leader.pool.workers[index];
+        if (!worker.eligible || worker.reservedFor != 0 || !model::fits(need, worker.offer)) {
+            continue;
+        }
+        ++looked;
+        const auto victims = victimsOn(cell, index, need);
+        if (victims && (!best || victims->size() < best->size())) {
+            best = victims;
+            bestWorker = index;
+        }
+    }
+    if (!best) {
+        return;
+    }
+    for (const model::TaskId victim : *best) {
+        requestStop(cell, victim, model::Reason::Preempted);
+    }
+    reserve(cell, task.id, {bestWorker}, now.monotonicMs + cell.options.preemptionMs);
+}
+
+bool isHeldBack(const Cell &cell, const model::Task &task)
+{
+    if (!policy::isSlowed(cell.leader.quarantine, task.spec.service)) {
+        return false;
+    }
+    const auto running = cell.leader.runningOf.find(task.spec.service);
+    return running != cell.leader.runningOf.end() && running->second >= cell.options.quarantine.slowedConcurrency;
+}
+
+/** Places one task or gang. @return false when its service has to wait for the next pass. */
+bool placeNext(Cell &cell, const policy::NextTask &next, const Now &now, Pass &pass)
+{
+    const model::Task &task = cell.state.tasks.at(next.task.task);
+    LiveTask &live = cell.leader.live.at(next.task.task);
+    if (isHeldBack(cell, task)) {
+        return false;
+    }
+    if (task.spec.kind == wire::TaskKind::Gang) {
+        return placeGang(cell, next, task, now, pass);
+    }
+    live.need = needFor(cell, task.spec);
+    if (!policy::withinQuota(cell.leader.queue, task.spec.team, live.need)) {
+        return false;
+    }
+    const policy::PlacementQuery query = queryFor(cell, task, live, now);
+    const bool plain = query.avoid == nullptr && !holdsReservation(cell, task.id);
+    if (plain && knownToFail(pass, query)) {
+        return false;
+    }
+    const auto worker = policy::choose(cell.leader.pool, query);
+    if (!worker) {
+        if (plain && pass.failedShapes.size() < maxFailedShapes) {
+            pass.failedShapes.emplace_back(query.need, query.policy);
+        }
+        if (task.spec.urgent) {
+            preempt(cell, task, live.need, now);
+        }
+        if (query.avoid != nullptr) {
+            live.avoid.clear(); // A worker that failed it once is better than none.
+        }
+        return false;
+    }
+    policy::take(cell.leader.queue, next, true);
+    dropReservation(cell, task.id);
+    place(cell, task, live, *worker, pass);
+    return true;
+}
+
+bool isStale(const Cell &cell, const policy::NextTask &next)
+{
+    const auto live = cell.leader.live.find(next.task.task);
+    return live == cell.leader.live.end() || live->second.ticket != next.task.ticket;
+}
+}
+
+void schedule(Cell &cell, const Now &now, CellOutput &output)
+{
+    if (!cell.leader.scheduleNeeded || cell.leader.draining) {
+        return;
+    }
+    cell.leader.scheduleNeeded = false;
+    Pass pass;
+    policy::NextTask next;
+    policy::beginPass(cell.leader.queue);
+    while (pass.record.placements.size() < maxPlacementsPerPass && policy::peek(cell.leader.queue, next)) {
+        if (isStale(cell, next)) {
+            policy::take(cell.leader.queue, next, false);
+        } else if (!placeNext(cell, next, now, pass)) {
+            policy::block(cell.leader.queue, next);
+        }
+    }
+    cell.leader.scheduleNeeded = pass.record.placements.size() >= maxPlacementsPerPass;
+    policy::noteStarts(cell.leader.rate, now.monotonicMs, pass.record.placements.size());
+    if (!pass.record.placements.empty()) {
+        pass.record.atMs = now.wallMs;
+        output.proposals.push_back(wire::encodeChange(std::move(pass.record)));
+    }
+}
+
+void dropReservation(Cell &cell, model::TaskId task)
+{
+    for (auto at = cell.leader.reservations.begin(); at != cell.leader.reservations.end();) {
+        if (at->second.task != task) {
+            ++at;
+            continue;
+        }
+        for (const policy::WorkerIndex worker : at->second.workers) {
+            cell.leader.pool.workers[worker].reservedFor = 0;
+        }
+        at = cell.leader.reservations.erase(at);
+        cell.leader.scheduleNeeded = true;
+    }
+}
+
+void expireReservations(Cell &cell, const Now &now)
+{
+    std::vector<model::TaskId> over;
+    for (const auto &[number, reservation] : cell.leader.reservations) {
+        if (reservation.untilMs <= now.monotonicMs) {
+            over.push_back(reservation.task);
+        }
+    }
+    for (const model::TaskId task : over) {
+        dropReservation(cell, task);
+    }
+}
+}
--- /dev/null
+++ b/Source/control/cellstarts.cpp
@@ -0,0 +1,28 @@
+#include "control/cellinternal.h"
+
+namespace rosemaryturn::control
+{
+void handleStartReplies(Cell &cell, const std::vector<StartReply> &replies, const Now &now, CellOutput &output)
+{
+    for (const StartReply &reply : replies) {
+        const auto task = cell.state.tasks.find(reply.task);
+        const auto live = cell.leader.live.find(reply.task);
+        const bool current = task != cell.state.tasks.end() && live != cell.leader.live.end() && task->second.phase == wire::TaskPhase::Dispatched
+            && task->second.attempt == reply.attempt && !live->second.ending;
+        if (!current) {
+            continue;
+        }
+        switch (reply.fate) {
+        case StartFate::Accepted:
+            live->second.confirmed = true;
+            live->second.expectedFrom = reply.announcement + 1;
+            break;
+        case StartFate::Refused:
+            internal::attemptEnded(cell, reply.task, internal::AttemptEnd::NeverBegan, model::Reason::StartRefused, {}, now, output);
+            break;
+        case StartFate::Unknown:
+            break; // Asked after by the announcements; sending it again blindly could run it twice.
+        }
+    }
+}
+}
--- /dev/null
+++ b/Source/control/cellstate.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "model/task.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/** State machines of the control thread: replicated states and the decisions of their leaders. */
+namespace rosemaryturn::control
+{
+/** The replicated state of a data centre's cell; changed by apply() only. */
+struct CellState
+{
+    model::TaskId nextTask = 1;
+    std::unordered_map<model::TaskId, model::Task> tasks;
+    std::unordered_map<std::string, model::TaskRange> keys;
+    std::map<std::string, wire::WorkerRegisteredT> workers;
+};
+
+/** What a record changed, for the leader's own bookkeeping. */
+struct Applied
+{
+    std::vector<model::TaskId> accepted;
+    std::vector<model::TaskId> dispatched;
+    std::vector<model::TaskId> requeued;
+    std::vector<model::TaskId> ended;
+    std::vector<model::TaskId> cancelled; ///< Still running when cancelled.
+    std::vector<model::TaskId> refused; ///< Placements that no longer apply.
+    std::vector<std::string> workers; ///< Registered, changed or removed.
+};
+
+/**
+ * Applies one committed record.
+ * @param state the state.
+ * @param record the record; one that does not fit the state changes nothing.
+ * @return what it changed.
+ */
+Applied apply(CellState &state, const wire::RecordT &record);
+
+/** @param state the state. @return its snapshot. */
+wire::Bytes encodeImage(const CellState &state);
+
+/** @param image a snapshot; empty for the state of a new cell. @return the state. */
+CellState decodeCellImage(const wire::Bytes &image);
+
+/** @param state the state. @param key a request's key. @return its tasks in order; empty when the key is unknown. */
+std::vector<const model::Task *> tasksOf(const CellState &state, const std::string &key);
+}
--- /dev/null
+++ b/Source/control/cellworkers.cpp
@@ -0,0 +1,373 @@
+#include "control/cellinternal.h"
+
+#include "model/task.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::control::internal
+{
+namespace
+{
+constexpr std::uint64_t hundred = 100;
+constexpr std::uint64_t eligibilityEveryMs = 200;
+/** Part of the start window, in percent, after which a silent worker gets no new work; the rest is for the start to arrive. */
+constexpr std::uint64_t freshPercent = 60;
+
+std::uint64_t withDrift(const Cell &cell, std::uint64_t durationMs)
+{
+    return durationMs * (hundred + cell.options.driftPercent) / hundred;
+}
+
+bool sameShape(const wire::WorkerRegisteredT &a, const wire::WorkerRegisteredT &b)
+{
+    return a == b;
+}
+
+wire::RunningTaskT mention(const model::Task &task, wire::TaskAction action)
+{
+    wire::RunningTaskT mention;
+    mention.task = task.id;
+    mention.attempt = task.attempt;
+    mention.action = action;
+    return mention;
+}
+
+wire::TaskAction actionFor(const LiveTask &live)
+{
+    if (live.stopReason == model::Reason::Preempted && live.correction == policy::Correction::None) {
+        return wire::TaskAction::Stop;
+    }
+    if (live.stopReason != model::Reason::None || live.correction == policy::Correction::Stop) {
+        return wire::TaskAction::Stop;
+    }
+    if (live.correction == policy::Correction::Checkpoint) {
+        return wire::TaskAction::Checkpoint;
+    }
+    return live.correction == policy::Correction::Throttle ? wire::TaskAction::Throttle : wire::TaskAction::Continue;
+}
+
+/** Counts what a task was seen to use, so that a worker is not given more than it can hold. */
+void noteReportedUsage(Cell &cell, const model::Task &task, LiveTask &live, const wire::RunningTaskT &report)
+{
+    if (report.cpuMillis == 0 && report.memoryMb == 0) {
+        return;
+    }
+    policy::noteUsage(cell.leader.estimates[task.spec.service], report.cpuMillis, report.memoryMb);
+    const model::Resources declared = model::needOf(task.spec);
+    model::Resources used = declared;
+    used.cpuMillis = std::max<std::uint64_t>(declared.cpuMillis, report.cpuMillis);
+    used.memoryMb = std::max<std::uint64_t>(declared.memoryMb, report.memoryMb);
+    if (live.occupying && !(used == live.need)) {
+        policy::vacate(cell.leader.pool, live.worker, live.need);
+        policy::discharge(cell.leader.queue, task.spec.team, live.need);
+        live.need = used;
+        policy::occupy(cell.leader.pool, live.worker, live.need);
+        policy::charge(cell.leader.queue, task.spec.team, live.need);
+    }
+    const policy::PooledWorker &worker = cell.leader.pool.workers[live.worker];
+    const bool overfull = !model::fits(worker.used, worker.offer);
+    live.correction = policy::nextCorrection(live.correction, declared, used, overfull);
+    if (live.correction == policy::Correction::Stop && live.stopReason == model::Reason::None) {
+        live.stopReason = model::Reason::Preempted;
+    }
+}
+
+void renew(Cell &cell, const model::Task &task, LiveTask &live, const wire::RunningTaskT &report, std::uint64_t number, const Now &now, wire::ReplyT &reply)
+{
+    live.confirmed = true;
+    live.seenIn = number;
+    noteReportedUsage(cell, task, live, report);
+    const wire::TaskAction action = actionFor(live);
+    if (action != wire::TaskAction::Stop) {
+        live.leaseUntilMs = std::max(live.leaseUntilMs, now.monotonicMs + withDrift(cell, cell.options.taskLeaseMs));
+        reply.renewed.push_back(std::make_unique<wire::RunningTaskT>(mention(task, action)));
+    }
+    if (action != wire::TaskAction::Continue) {
+        reply.actions.push_back(std::make_unique<wire::RunningTaskT>(mention(task, action)));
+    }
+}
+
+bool isAttemptOf(const model::Task &task, const wire::RunningTaskT &report, const wire::WorkerRegisteredT &shape)
+{
+    return task.phase == wire::TaskPhase::Dispatched && task.attempt == report.attempt && task.worker == shape.worker && task.incarnation == shape.incarnation;
+}
+
+void takeRunning(Cell &cell, const wire::AnnouncementT &announcement, const Now &now, wire::ReplyT &reply)
+{
+    for (const auto &report : announcement.running) {
+        const auto task = cell.state.tasks.find(report->task);
+        const auto live = cell.leader.live.find(report->task);
+        const bool known = task != cell.state.tasks.end() && live != cell.leader.live.end();
+        if (known && isAttemptOf(task->second, *report, *announcement.shape)) {
+            renew(cell, task->second, live->second, *report, announcement.number, now, reply);
+            continue;
+        }
+        wire::RunningTaskT stop = *report;
+        stop.action = wire::TaskAction::Stop;
+        reply.actions.push_back(std::make_unique<wire::RunningTaskT>(stop));
+    }
+}
+
+/** Decides about the tasks that the worker should hold and did not mention. */
+void takeMissing(Cell &cell, policy::WorkerIndex index, const wire::AnnouncementT &announcement, const Now &now, CellOutput &output)
+{
+    const LiveWorker &worker = cell.leader.workers[index];
+    const std::vector<model::TaskId> tasks(worker.tasks.begin(), worker.tasks.end());
+    for (const model::TaskId id : tasks) {
+        const LiveTask &live = cell.leader.live.at(id);
+        const model::Task &task = cell.state.tasks.at(id);
+        if (task.phase != wire::TaskPhase::Dispatched || live.ending || live.seenIn == announcement.number
+            || task.incarnation != announcement.shape->incarnation) {
+            continue;
+        }
+        if (live.confirmed) {
+            if (announcement.number >= live.expectedFrom) {
+                const bool stopped = live.stopReason != model::Reason::None;
+                attemptEnded(
+                    cell, id, stopped ? AttemptEnd::Stopped : AttemptEnd::Lost, stopped ? live.stopReason : model::Reason::WorkerLostTask, {}, now, output);
+            }
+            continue;
+        }
+        // This announcement was built after the reply to the one before it, so the window on the worker's clock is over.
+        if (worker.previousHeardMs > live.startHeardMs + withDrift(cell, cell.options.startWindowMs)) {
+            attemptEnded(cell, id, AttemptEnd::NeverBegan, model::Reason::StartNeverBegan, {}, now, output);
+        }
+    }
+}
+
+void processAnnouncement(Cell &cell, Token token, const wire::AnnouncementT &announcement, const Now &now, CellOutput &output)
+{
+    const auto index = policy::findWorker(cell.leader.pool, announcement.shape->worker);
+    if (!index) {
+        refuse(cell, output, token, model::Reason::WorkerUnregistered, announcement.shape->worker);
+        return;
+    }
+    LiveWorker &worker = cell.leader.workers[*index];
+    wire::ReplyT answer;
+    answer.term = cell.leader.term;
+    answer.leaseMs = static_cast<std::uint32_t>(cell.options.taskLeaseMs);
+    answer.windowMs = static_cast<std::uint32_t>(cell.options.startWindowMs);
+    if (worker.heard && announcement.number <= worker.announcement) {
+        reply(output, token, std::move(answer)); // An older one that was overtaken renews nothing.
+        return;
+    }
+    worker.announcement = announcement.number;
+    worker.previousHeardMs = worker.heard ? worker.heardMs : 0;
+    worker.heardMs = now.monotonicMs;
+    worker.heard = true;
+    ++cell.metrics.announcements;
+    takeRunning(cell, announcement, now, answer);
+    takeMissing(cell, *index, announcement, now, output);
+    reply(output, token, std::move(answer));
+    cell.leader.nextEligibilityMs = now.monotonicMs;
+}
+
+bool isIntact(const wire::TaskResultT &result)
+{
+    return result.answer.size() == result.statedLength && model::checksum(result.answer) == result.checksum;
+}
+
+/** Handles one result. @return whether a record was proposed that the acknowledgement waits for. */
+bool takeResult(Cell &cell, Token token, const std::string &worker, const wire::TaskResultT &result, const Now &now, wire::ReplyT &answer, CellOutput &output)
+{
+    const auto acknowledge = [&answer, &result] {
+        auto mention = std::make_unique<wire::RunningTaskT>();
+        mention->task = result.task;
+        mention->attempt = result.attempt;
+        answer.renewed.push_back(std::move(mention));
+    };
+    if (!isIntact(result)) {
+        count(cell.metrics, model::Reason::AnswerCorrupt);
+        return false; // Not acknowledged, so the worker sends it again.
+    }
+    const auto found = cell.state.tasks.find(result.task);
+    const bool current = found != cell.state.tasks.end() && found->second.attempt == result.attempt && found->second.worker == worker;
+    if (!current || found->second.phase == wire::TaskPhase::Queued) {
+        count(cell.metrics, model::Reason::AnswerFenced);
+        acknowledge();
+        return false;
+    }
+    const model::Task &task = found->second;
+    const bool open = task.phase == wire::TaskPhase::Dispatched || task.outcome == wire::Outcome::Unknown;
+    acknowledge();
+    if (!open) {
+        return false; // The same end again.
+    }
+    auto &waiting = cell.leader.pendingResults[task.id];
+    const auto live = cell.leader.live.find(task.id);
+    const bool proposed = live != cell.leader.live.end() && live->second.ending;
+    waiting.push_back(token);
+    if (proposed) {
+        return true;
+    }
+    const bool ran = !result.refused;
+    policy::noteEnd(cell.leader.quarantine, worker, task.spec.service, ran && !result.failed, cell.leader.pool.workers.size(), now.monotonicMs);
+    if (result.refused) {
+        attemptEnded(cell, task.id, AttemptEnd::NeverBegan, model::Reason::StartRefused, {}, now, output);
+    } else if (result.failed) {
+        attemptEnded(cell, task.id, AttemptEnd::Failed, model::Reason::TaskFailed, result.answer, now, output);
+    } else {
+        proposeEnd(cell, task, wire::Outcome::Answered, model::Reason::None, result.answer, now, output);
+    }
+    return true;
+}
+
+void forgetQuietWorker(Cell &cell, policy::WorkerIndex index, const Now &now, CellOutput &output)
+{
+    LiveWorker &worker = cell.leader.workers[index];
+    const std::string &name = cell.leader.pool.workers[index].id;
+    if (!worker.tasks.empty() || cell.state.workers.count(name) == 0 || now.monotonicMs < worker.heardMs + cell.options.quietWorkerMs) {
+        return;
+    }
+    worker.heardMs = now.monotonicMs; // Proposed once; asked again later if it does not come through.
+    wire::WorkerRemovedT record;
+    record.worker = name;
+    output.proposals.push_back(wire::encodeChange(std::move(record)));
+}
+
+void expireTask(Cell &cell, model::TaskId id, const Now &now, CellOutput &output)
+{
+    const LiveTask &live = cell.leader.live.at(id);
+    const model::Task &task = cell.state.tasks.at(id);
+    if (task.phase != wire::TaskPhase::Dispatched || live.ending) {
+        return;
+    }
+    if (now.monotonicMs > live.leaseUntilMs) {
+        policy::noteEnd(cell.leader.quarantine, task.worker, task.spec.service, false, cell.leader.pool.workers.size(), now.monotonicMs);
+        const bool restarted = cell.leader.workers[live.worker].incarnation != task.incarnation;
+        attemptEnded(cell, id, AttemptEnd::Lost, restarted ? model::Reason::WorkerRestarted : model::Reason::LeaseExpired, {}, now, output);
+        return;
+    }
+    const bool tooLong = task.spec.maxRunMs > 0 && now.monotonicMs > live.dispatchedMs + task.spec.maxRunMs;
+    if (tooLong && live.stopReason == model::Reason::None) {
+        requestStop(cell, id, model::Reason::RunTimeExceeded);
+    }
+}
+}
+
+void announce(Cell &cell, Token token, const wire::AnnouncementT &announcement, const Now &now, CellOutput &output)
+{
+    const wire::WorkerRegisteredT &shape = *announcement.shape;
+    const auto known = cell.state.workers.find(shape.worker);
+    if (known != cell.state.workers.end() && sameShape(known->second, shape)) {
+        processAnnouncement(cell, token, announcement, now, output);
+        return;
+    }
+    if (known != cell.state.workers.end() && shape.incarnation < known->second.incarnation) {
+        refuse(cell, output, token, model::Reason::WorkerRestarted, "a newer process of this worker is registered");
+        return;
+    }
+    auto &pending = cell.leader.pendingAnnouncements[shape.worker];
+    const bool proposed = !pending.empty() && sameShape(*pending.back().announcement.shape, shape);
+    pending.push_back({token, announcement});
+    if (!proposed) {
+        output.proposals.push_back(wire::encodeChange(shape));
+    }
+}
+
+void workerChanged(Cell &cell, const std::string &worker, const Now &now, CellOutput &output)
+{
+    const auto shape = cell.state.workers.find(worker);
+    if (shape == cell.state.workers.end()) {
+        if (const auto index = policy::findWorker(cell.leader.pool, worker)) {
+            policy::setEligible(cell.leader.pool, *index, false);
+            policy::upsertWorker(cell.leader.pool, worker, "", {});
+            policy::setTotal(cell.leader.queue, cell.leader.pool.totalOffer);
+        }
+        return;
+    }
+    const policy::WorkerIndex index = takeWorkerUp(cell, shape->second);
+    LiveWorker &live = cell.leader.workers[index];
+    if (live.incarnation != shape->second.incarnation) {
+        // Another process counts its announcements anew. What the earlier one ran is left to the end of its leases,
+        // since a paused process may still hold it.
+        live.incarnation = shape->second.incarnation;
+        live.heard = false;
+        live.announcement = 0;
+    }
+    answerAnnouncements(cell, worker, now, output);
+}
+
+void answerAnnouncements(Cell &cell, const std::string &worker, const Now &now, CellOutput &output)
+{
+    const auto found = cell.leader.pendingAnnouncements.find(worker);
+    if (found == cell.leader.pendingAnnouncements.end()) {
+        return;
+    }
+    const std::vector<PendingAnnouncement> pending = std::move(found->second);
+    cell.leader.pendingAnnouncements.erase(found);
+    for (const PendingAnnouncement &announcement : pending) {
+        if (sameShape(*announcement.announcement.shape, cell.state.workers.at(worker))) {
+            processAnnouncement(cell, announcement.token, announcement.announcement, now, output);
+        } else {
+            cell.leader.pendingAnnouncements[worker].push_back(announcement);
+        }
+    }
+}
+
+void takeResults(Cell &cell, Token token, const wire::RequestT &request, const Now &now, CellOutput &output)
+{
+    wire::ReplyT answer;
+    answer.term = cell.leader.term;
+    std::size_t open = 0;
+    for (const auto &result : request.results) {
+        if (takeResult(cell, token, request.worker, *result, now, answer, output)) {
+            ++open;
+        }
+    }
+    if (open == 0) {
+        reply(output, token, std::move(answer));
+        return;
+    }
+    cell.leader.openResults[token] = open;
+    cell.leader.resultReplies[token] = std::move(answer);
+}
+
+void resultStored(Cell &cell, model::TaskId id, CellOutput &output)
+{
+    const auto found = cell.leader.pendingResults.find(id);
+    if (found == cell.leader.pendingResults.end()) {
+        return;
+    }
+    for (const Token token : found->second) {
+        const auto open = cell.leader.openResults.find(token);
+        if (open != cell.leader.openResults.end() && --open->second == 0) {
+            reply(output, token, std::move(cell.leader.resultReplies[token]));
+            cell.leader.resultReplies.erase(token);
+            cell.leader.openResults.erase(open);
+        }
+    }
+    cell.leader.pendingResults.erase(found);
+}
+
+void expireLeases(Cell &cell, const Now &now, CellOutput &output)
+{
+    for (policy::WorkerIndex index = 0; index < cell.leader.workers.size(); ++index) {
+        const std::vector<model::TaskId> tasks(cell.leader.workers[index].tasks.begin(), cell.leader.workers[index].tasks.end());
+        for (const model::TaskId id : tasks) {
+            expireTask(cell, id, now, output);
+        }
+        forgetQuietWorker(cell, index, now, output);
+    }
+}
+
+void refreshEligibility(Cell &cell, const Now &now)
+{
+    if (now.monotonicMs < cell.leader.nextEligibilityMs) {
+        return;
+    }
+    cell.leader.nextEligibilityMs = now.monotonicMs + eligibilityEveryMs;
+    const std::uint64_t freshMs = cell.options.startWindowMs * freshPercent / hundred;
+    for (policy::WorkerIndex index = 0; index < cell.leader.workers.size(); ++index) {
+        const LiveWorker &worker = cell.leader.workers[index];
+        policy::PooledWorker &pooled = cell.leader.pool.workers[index];
+        const auto shape = cell.state.workers.find(pooled.id);
+        const bool registered = shape != cell.state.workers.end() && !shape->second.leaving;
+        const bool fresh = worker.heard && now.monotonicMs <= worker.heardMs + freshMs;
+        const bool wanted = registered && fresh && !isDown(*cell.config, pooled.id) && !policy::isExcluded(cell.leader.quarantine, pooled.id, now.monotonicMs);
+        cell.leader.scheduleNeeded = cell.leader.scheduleNeeded || (wanted && !pooled.eligible);
+        policy::setEligible(cell.leader.pool, index, wanted);
+        pooled.probing = policy::isProbing(cell.leader.quarantine, pooled.id, now.monotonicMs);
+    }
+}
+}
--- /dev/null
+++ b/Source/control/hostgroups.cpp
@@ -0,0 +1,393 @@
+#include "control/hostinternal.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::control
+{
+namespace
+{
+using namespace internal;
+
+CellOptions cellOptions(const config::Settings &settings, const std::string &dataCentre)
+{
+    CellOptions options;
+    options.dataCentre = dataCentre;
+    options.environment = settings.environment;
+    options.taskLeaseMs = settings.timing.taskLeaseMs;
+    options.startWindowMs = settings.timing.startWindowMs;
+    options.driftPercent = settings.timing.driftPercent;
+    options.answersKeptMs = settings.timing.answersKeptMs;
+    options.keysKeptMs = settings.timing.keysKeptMs;
+    options.admission.maxQueued = settings.limits.maxQueued;
+    return options;
+}
+
+void addMember(wire::MembershipT &membership, const config::HostSettings &host, wire::MemberRole role)
+{
+    auto member = std::make_unique<wire::MemberT>();
+    member->host = host.id;
+    member->incarnation = 1;
+    member->role = role;
+    member->durable = host.durable;
+    membership.members.push_back(std::move(member));
+}
+
+/** @return a host outside the data centre that can hold its cell's position; null when there is none. */
+const config::HostSettings *witnessFor(const config::Settings &settings, const std::string &dataCentre)
+{
+    const std::vector<std::string> centres = config::dataCentres(settings);
+    const auto own = std::find(centres.begin(), centres.end(), dataCentre);
+    const std::size_t ownIndex = static_cast<std::size_t>(own - centres.begin());
+    for (std::size_t step = 1; step < centres.size(); ++step) {
+        for (const config::HostSettings *host : config::hostsOf(settings, centres[(ownIndex + step) % centres.size()])) {
+            if (host->durable) {
+                return host;
+            }
+        }
+    }
+    return nullptr;
+}
+
+wire::MembershipT wantedCell(const config::Settings &settings, const std::string &dataCentre)
+{
+    wire::MembershipT membership;
+    const auto hosts = config::hostsOf(settings, dataCentre);
+    for (const config::HostSettings *host : hosts) {
+        addMember(membership, *host, wire::MemberRole::Voter);
+    }
+    const config::HostSettings *witness = hosts.size() % 2 == 0 ? witnessFor(settings, dataCentre) : nullptr;
+    if (witness != nullptr) {
+        addMember(membership, *witness, wire::MemberRole::Witness);
+    }
+    return membership;
+}
+
+wire::MembershipT wantedGlobal(const config::Settings &settings)
+{
+    wire::MembershipT membership;
+    for (const std::string &dataCentre : config::dataCentres(settings)) {
+        bool hasVoter = false;
+        for (const config::HostSettings *host : config::hostsOf(settings, dataCentre)) {
+            const bool voter = host->durable && !hasVoter;
+            hasVoter = hasVoter || voter;
+            addMember(membership, *host, voter ? wire::MemberRole::Voter : wire::MemberRole::Learner);
+        }
+    }
+    return membership;
+}
+
+consensus::Node makeNode(const Host &host, const std::string &group, std::uint64_t seed)
+{
+    consensus::Node node;
+    node.group = group;
+    node.self = host.settings.host;
+    node.incarnation = host.incarnation;
+    node.durable = config::ownHost(host.settings).durable;
+    node.timing = {host.settings.timing.heartbeatMs, host.settings.timing.electionMs, host.settings.timing.leaderLeaseMs};
+    node.random.seed(seed);
+    node.promptCommit = group == globalGroup;
+    return node;
+}
+
+void loadImage(Host &host, const std::string &group, const wire::Bytes &image)
+{
+    if (group == globalGroup) {
+        host.config = decodeConfigImage(image, config::dataCentres(host.settings));
+    } else if (group == cellGroup(host.dataCentre)) {
+        host.cell.state = decodeCellImage(image);
+    }
+}
+
+void applyEntry(Host &host, const std::string &group, const wire::EntryT &entry, const Now &now, CellOutput &cellOutput, HostOutput &result)
+{
+    const auto record = wire::decode<wire::RecordT>(entry.payload);
+    if (!record) {
+        return; // Written by this program only and checksummed on disk and wire.
+    }
+    if (group == globalGroup) {
+        applyConfigRecord(host, *record, now, result);
+    } else if (group == cellGroup(host.dataCentre)) {
+        applyRecord(host.cell, *record, now, cellOutput);
+    }
+}
+
+void followLeadership(Host &host, consensus::Node &node, const Now &now, CellOutput &cellOutput, HostOutput &result)
+{
+    const bool leads = consensus::leads(node);
+    if (node.group == globalGroup) {
+        if (!leads) {
+            failPendingChanges(host, now, result);
+        }
+        return;
+    }
+    if (node.group != cellGroup(host.dataCentre)) {
+        return;
+    }
+    if (!leads && host.cell.leader.active) {
+        endLeading(host.cell, cellOutput);
+    }
+    if (leads && (!host.cell.leader.active || host.cell.leader.term != node.term)) {
+        beginLeading(host.cell, node.term, now, cellOutput);
+        host.cell.leader.draining = host.draining;
+    }
+}
+
+void snapshotIfDue(Host &host, consensus::Node &node, HostOutput &result)
+{
+    if (node.witness || node.applied - node.log.snapshotIndex < host.settings.limits.snapshotEveryEntries) {
+        return;
+    }
+    const wire::Bytes image = node.group == globalGroup ? encodeImage(host.config) : encodeImage(host.cell.state);
+    consensus::Output output;
+    consensus::compact(node, image, output);
+    consensus::PersistOrder order;
+    order.group = node.group;
+    order.records = std::move(output.persist);
+    order.replace = true;
+    order.index = consensus::lastIndex(node.log);
+    order.term = consensus::lastTerm(node.log);
+    result.persist.push_back(std::move(order));
+}
+}
+
+std::string cellGroup(const std::string &dataCentre)
+{
+    return "cell/" + dataCentre;
+}
+
+wire::MembershipT wantedMembership(const config::Settings &settings, const std::string &group)
+{
+    if (group == globalGroup) {
+        return wantedGlobal(settings);
+    }
+    return wantedCell(settings, group.substr(group.find('/') + 1));
+}
+
+std::vector<std::string> groupsOf(const config::Settings &settings, const std::string &host)
+{
+    std::vector<std::string> groups{globalGroup};
+    for (const std::string &dataCentre : config::dataCentres(settings)) {
+        const wire::MembershipT membership = wantedCell(settings, dataCentre);
+        if (consensus::findMember(membership, host) != nullptr) {
+            groups.push_back(cellGroup(dataCentre));
+        }
+    }
+    return groups;
+}
+
+Host makeHost(config::Settings settings, std::uint64_t incarnation, const std::map<std::string, std::vector<wire::JournalRecordT>> &journals,
+              std::uint64_t seed, const Now &now)
+{
+    Host host;
+    host.settings = std::move(settings);
+    host.dataCentre = config::ownHost(host.settings).dataCentre;
+    host.incarnation = incarnation;
+    host.cell.options = cellOptions(host.settings, host.dataCentre);
+    host.cell.random.seed(seed);
+    host.config.dataCentres = config::dataCentres(host.settings);
+    for (const std::string &group : groupsOf(host.settings, host.settings.host)) {
+        consensus::Node node = makeNode(host, group, seed + host.groups.size() + 1);
+        const wire::MembershipT wanted = wantedMembership(host.settings, group);
+        node.witness = consensus::findMember(wanted, node.self)->role == wire::MemberRole::Witness;
+        consensus::initialise(node, wanted, now.monotonicMs);
+        const auto journal = journals.find(group);
+        if (journal != journals.end()) {
+            for (const wire::JournalRecordT &record : journal->second) {
+                consensus::restore(node, record);
+            }
+            loadImage(host, group, consensus::finishRestore(node, now.monotonicMs));
+        }
+        host.groups.emplace(group, std::move(node));
+    }
+    return host;
+}
+
+void takeMessage(Host &host, const wire::ConsensusMessageT &message, const Now &now, HostOutput &output)
+{
+    const auto found = host.groups.find(message.group);
+    if (found == host.groups.end()) {
+        return;
+    }
+    consensus::Output step;
+    consensus::receive(found->second, message, now.monotonicMs, step);
+    runGroup(host, found->second, std::move(step), now, output);
+}
+
+void takePersisted(Host &host, const std::string &group, std::uint64_t index, std::uint64_t term, const Now &now, HostOutput &output)
+{
+    consensus::Node &node = host.groups.at(group);
+    consensus::Output step;
+    consensus::persisted(node, index, term, now.monotonicMs, step);
+    runGroup(host, node, std::move(step), now, output);
+}
+
+void takeStartReplies(Host &host, const std::vector<StartReply> &replies, const Now &now, HostOutput &output)
+{
+    CellOutput step;
+    handleStartReplies(host.cell, replies, now, step);
+    runCell(host, std::move(step), now, output);
+}
+
+void tickHost(Host &host, const Now &now, HostOutput &output)
+{
+    host.cell.config = &host.config;
+    for (auto &[name, node] : host.groups) {
+        consensus::Output step;
+        consensus::tick(node, now.monotonicMs, step);
+        runGroup(host, node, std::move(step), now, output);
+        repairMembership(host, node, now, output);
+    }
+    const auto own = host.groups.find(cellGroup(host.dataCentre));
+    if (own != host.groups.end()) {
+        CellOutput step;
+        tickCell(host.cell, now, consensus::holdsLease(own->second, now.monotonicMs), step);
+        runCell(host, std::move(step), now, output);
+    }
+    retryRouted(host, now, output);
+}
+
+void drainHost(Host &host, const Now &now, HostOutput &output)
+{
+    host.draining = true;
+    host.cell.leader.draining = true;
+    for (auto &[name, node] : host.groups) {
+        consensus::Output step;
+        consensus::stepDown(node, now.monotonicMs, step);
+        runGroup(host, node, std::move(step), now, output);
+    }
+}
+
+bool isConfigLearnt(const Host &host)
+{
+    const consensus::Node &node = host.groups.at(globalGroup);
+    // A host with a disk goes on from what it served before; one without first hears what the majority holds.
+    return node.learntCommit || consensus::leads(node) || (node.durable && node.applied > 0);
+}
+
+bool isReady(const Host &host)
+{
+    const auto cell = host.groups.find(cellGroup(host.dataCentre));
+    const bool cellLed = cell != host.groups.end() && !cell->second.leader.empty();
+    return cellLed && isConfigLearnt(host) && !host.draining;
+}
+
+namespace internal
+{
+void runGroup(Host &host, consensus::Node &node, consensus::Output output, const Now &now, HostOutput &result)
+{
+    host.cell.config = &host.config;
+    if (!output.persist.empty() || !output.afterSync.empty()) {
+        consensus::PersistOrder order;
+        order.group = node.group;
+        order.records = std::move(output.persist);
+        order.replace = output.replaceJournal;
+        order.afterSync = std::move(output.afterSync);
+        order.index = consensus::lastIndex(node.log);
+        order.term = consensus::lastTerm(node.log);
+        result.persist.push_back(std::move(order));
+    }
+    for (wire::ConsensusMessageT &message : output.now) {
+        result.messages.push_back(std::move(message));
+    }
+    if (output.restored) {
+        loadImage(host, node.group, *output.restored);
+        configChanged(host.cell, now);
+    }
+    CellOutput cellOutput;
+    for (const consensus::EntryPointer &entry : output.committed) {
+        applyEntry(host, node.group, *entry, now, cellOutput, result);
+    }
+    followLeadership(host, node, now, cellOutput, result);
+    runCell(host, std::move(cellOutput), now, result);
+    snapshotIfDue(host, node, result);
+}
+
+void runCell(Host &host, CellOutput output, const Now &now, HostOutput &result)
+{
+    for (TokenReply &reply : output.replies) {
+        finish(host, reply.token, std::move(reply.reply), now, result);
+    }
+    for (StartOrder &start : output.starts) {
+        result.starts.push_back(std::move(start));
+    }
+    propose(host, cellGroup(host.dataCentre), std::move(output.proposals), now, result);
+}
+
+void propose(Host &host, const std::string &group, std::vector<wire::Bytes> payloads, const Now &now, HostOutput &result)
+{
+    const auto found = host.groups.find(group);
+    if (payloads.empty() || found == host.groups.end()) {
+        return;
+    }
+    consensus::Output step;
+    consensus::propose(found->second, std::move(payloads), now.monotonicMs, step);
+    runGroup(host, found->second, std::move(step), now, result);
+}
+
+namespace
+{
+/** @return the next single step towards the wanted member, or nothing when there is none to take. */
+std::optional<wire::MemberT> nextStep(const Host &host, const consensus::Node &node, const wire::MemberT &wanted)
+{
+    const wire::MemberT *present = consensus::findMember(node.membership, wanted.host);
+    const auto peer = host.peers.find(wanted.host);
+    const bool self = wanted.host == host.settings.host;
+    const bool known = self || (peer != host.peers.end() && peer->second.connected);
+    if (!known) {
+        return std::nullopt;
+    }
+    const std::uint64_t incarnation = self ? host.incarnation : peer->second.incarnation;
+    if (present == nullptr || present->incarnation != incarnation) {
+        // A host that lost its log is a new member and first learns what the group holds.
+        wire::MemberT learner = wanted;
+        learner.incarnation = incarnation;
+        learner.role = wire::MemberRole::Learner;
+        return learner;
+    }
+    const auto progress = node.progress.find(wanted.host);
+    const bool caughtUp
+        = progress != node.progress.end() && progress->second.incarnation == incarnation && progress->second.match >= node.commit && node.commit > 0;
+    if (present->role != wanted.role && caughtUp) {
+        wire::MemberT promoted = *present;
+        promoted.role = wanted.role;
+        return promoted;
+    }
+    return std::nullopt;
+}
+
+wire::MembershipT withMember(const wire::MembershipT &membership, const wire::MemberT &changed)
+{
+    wire::MembershipT result;
+    bool placed = false;
+    for (const auto &member : membership.members) {
+        const bool same = member->host == changed.host;
+        result.members.push_back(std::make_unique<wire::MemberT>(same ? changed : *member));
+        placed = placed || same;
+    }
+    if (!placed) {
+        result.members.push_back(std::make_unique<wire::MemberT>(changed));
+    }
+    return result;
+}
+}
+
+void repairMembership(Host &host, consensus::Node &node, const Now &now, HostOutput &result)
+{
+    if (!consensus::leads(node) || node.membershipIndex > node.commit) {
+        return;
+    }
+    const wire::MembershipT wanted = wantedMembership(host.settings, node.group);
+    for (const auto &member : wanted.members) {
+        const auto step = nextStep(host, node, *member);
+        if (!step) {
+            continue;
+        }
+        consensus::Output output;
+        if (consensus::proposeMembership(node, withMember(node.membership, *step), now.monotonicMs, output) != 0) {
+            runGroup(host, node, std::move(output), now, result);
+        }
+        return; // One change at a time.
+    }
+}
+}
+}
--- /dev/null
+++ b/Source/control/hostrouting.cpp
@@ -0,0 +1,365 @@
+#include "control/hostinternal.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::control
+{
+namespace
+{
+using namespace internal;
+
+constexpr std::uint64_t retryEveryMs = 100;
+constexpr std::uint8_t maxHops = 2;
+
+/** Time that a request of the own edge is given to reach who decides it, besides the caller's wait. */
+std::uint64_t patienceMs(wire::Operation operation)
+{
+    constexpr std::uint64_t announcementMs = 1500;
+    constexpr std::uint64_t configMs = 8000;
+    constexpr std::uint64_t taskMs = 5000;
+    switch (operation) {
+    case wire::Operation::Announce:
+        return announcementMs;
+    case wire::Operation::ApplyConfig:
+    case wire::Operation::ApplyVerdict:
+        return configMs;
+    default:
+        return taskMs;
+    }
+}
+
+bool isGlobal(wire::Operation operation)
+{
+    return operation == wire::Operation::ApplyConfig || operation == wire::Operation::ApplyVerdict;
+}
+
+bool isOwn(wire::Operation operation)
+{
+    return operation == wire::Operation::ReadConfig || operation == wire::Operation::HostStatus || operation == wire::Operation::HostMetrics;
+}
+
+bool worthRetrying(model::Reason reason)
+{
+    return reason == model::Reason::NoLeader || reason == model::Reason::LeadershipLost || reason == model::Reason::TooManyHops;
+}
+
+bool isConnected(const Host &host, const std::string &peer)
+{
+    const auto found = host.peers.find(peer);
+    return found != host.peers.end() && found->second.connected;
+}
+
+/** Where a request goes from here. */
+struct Target
+{
+    bool here = false;
+    std::string host; ///< Empty when nobody is known or reached.
+    model::Reason missing = model::Reason::NoLeader; ///< The error when there is no target.
+};
+
+Target targetWithin(const Host &host, const std::string &group)
+{
+    const auto found = host.groups.find(group);
+    if (found == host.groups.end()) {
+        return {};
+    }
+    if (consensus::leads(found->second)) {
+        return {true, {}, model::Reason::None};
+    }
+    const std::string &leader = found->second.leader;
+    if (leader.empty() || leader == host.settings.host || !isConnected(host, leader)) {
+        return {};
+    }
+    return {false, leader, model::Reason::None};
+}
+
+Target targetElsewhere(const Host &host, const std::string &dataCentre, std::uint32_t tries)
+{
+    std::vector<std::string> reachable;
+    for (const config::HostSettings *candidate : config::hostsOf(host.settings, dataCentre)) {
+        if (isConnected(host, candidate->id)) {
+            reachable.push_back(candidate->id);
+        }
+    }
+    if (reachable.empty()) {
+        return {false, {}, model::Reason::HomeUnreachable};
+    }
+    const auto last = host.lastDecider.find(dataCentre);
+    if (tries == 0 && last != host.lastDecider.end() && isConnected(host, last->second)) {
+        return {false, last->second, model::Reason::None};
+    }
+    return {false, reachable[tries % reachable.size()], model::Reason::None};
+}
+
+Target targetOf(const Host &host, const wire::RequestT &request, std::uint32_t tries)
+{
+    if (isOwn(request.operation)) {
+        return {true, {}, model::Reason::None};
+    }
+    if (isGlobal(request.operation)) {
+        return targetWithin(host, globalGroup);
+    }
+    if (request.dataCentre == host.dataCentre) {
+        return targetWithin(host, cellGroup(host.dataCentre));
+    }
+    return targetElsewhere(host, request.dataCentre, tries);
+}
+
+bool isTaskRequest(wire::Operation operation)
+{
+    return operation == wire::Operation::Submit || operation == wire::Operation::Query || operation == wire::Operation::Cancel;
+}
+
+bool isDataCentre(const Host &host, const std::string &name)
+{
+    const auto &names = host.config.dataCentres;
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/** Finds the one data centre that decides about a key: named in the key, else the service's home. */
+model::Reason resolveHome(const Host &host, wire::RequestT &request)
+{
+    if (!isTaskRequest(request.operation)) {
+        return model::Reason::None;
+    }
+    const std::size_t at = request.key.find('@');
+    if (at != std::string::npos) {
+        request.dataCentre = request.key.substr(at + 1);
+        return isDataCentre(host, request.dataCentre) ? model::Reason::None : model::Reason::BadKey;
+    }
+    const std::string &service = request.specs.empty() ? request.service : request.specs.front()->service;
+    request.dataCentre = host.dataCentre;
+    if (!service.empty()) {
+        const QualifiedService found = findQualified(host.config, service);
+        if (found.declaration == nullptr) {
+            return isConfigLearnt(host) ? model::Reason::UnknownService : model::Reason::ConfigNotLearnt;
+        }
+        request.dataCentre = found.declaration->home;
+    }
+    request.key += "@" + request.dataCentre;
+    for (const auto &spec : request.specs) {
+        spec->key = request.key;
+    }
+    return model::Reason::None;
+}
+
+void answerLocal(Host &host, Token token, wire::ReplyT reply, HostOutput &output)
+{
+    const auto routed = host.routed.find(token);
+    if (routed != host.routed.end()) {
+        host.calls.erase(routed->second.callId);
+        host.routed.erase(routed);
+    }
+    output.replies.push_back({token, std::move(reply)});
+}
+
+void giveUp(Host &host, Token token, model::Reason reason, HostOutput &output)
+{
+    const RoutedRequest &routed = host.routed.at(token);
+    const bool unsure = routed.maybeReceived && (reason == model::Reason::NoLeader || reason == model::Reason::HomeUnreachable);
+    const model::Reason told = unsure ? model::Reason::HomeSilent : reason;
+    count(host.cell.metrics, told);
+    answerLocal(host, token, errorReply(told), output);
+}
+
+void retryLater(Host &host, Token token, model::Reason reason, const Now &now, HostOutput &output)
+{
+    RoutedRequest &routed = host.routed.at(token);
+    host.calls.erase(routed.callId);
+    routed.callId = 0;
+    routed.calledHost.clear();
+    if (now.monotonicMs >= routed.deadlineMs || reason == model::Reason::HomeUnreachable) {
+        giveUp(host, token, reason, output);
+        return;
+    }
+    ++routed.tries;
+    routed.retryAtMs = now.monotonicMs + retryEveryMs;
+    count(host.cell.metrics, reason);
+}
+
+void route(Host &host, Token token, const Now &now, HostOutput &output)
+{
+    RoutedRequest &routed = host.routed.at(token);
+    routed.retryAtMs = 0;
+    if (routed.waitUntilMs != 0) {
+        routed.request.waitMs = static_cast<std::uint32_t>(routed.waitUntilMs > now.monotonicMs ? routed.waitUntilMs - now.monotonicMs : 0);
+    }
+    const Target target = targetOf(host, routed.request, routed.tries);
+    if (target.here) {
+        // The request may be answered within this call, which removes it from the map.
+        const wire::RequestT request = routed.request;
+        decide(host, token, request, now, output);
+        return;
+    }
+    if (target.host.empty()) {
+        retryLater(host, token, target.missing, now, output);
+        return;
+    }
+    routed.callId = host.nextCall++;
+    routed.calledHost = target.host;
+    host.calls[routed.callId] = token;
+    output.calls.push_back({target.host, routed.callId, routed.request});
+}
+}
+
+namespace internal
+{
+wire::ReplyT errorReply(model::Reason reason, const std::string &detail)
+{
+    wire::ReplyT reply;
+    reply.error = static_cast<std::uint16_t>(reason);
+    reply.detail = detail;
+    return reply;
+}
+
+void finish(Host &host, Token token, wire::ReplyT reply, const Now &now, HostOutput &output)
+{
+    const auto origin = host.peerOrigins.find(token);
+    if (origin != host.peerOrigins.end()) {
+        output.peerReplies.push_back({origin->second.host, origin->second.callId, std::move(reply)});
+        host.peerOrigins.erase(origin);
+        return;
+    }
+    const auto reason = static_cast<model::Reason>(reply.error);
+    if (worthRetrying(reason) && host.routed.count(token) > 0) {
+        retryLater(host, token, reason, now, output);
+        return;
+    }
+    answerLocal(host, token, std::move(reply), output);
+}
+
+void decide(Host &host, Token token, const wire::RequestT &request, const Now &now, HostOutput &output)
+{
+    switch (request.operation) {
+    case wire::Operation::ApplyConfig:
+    case wire::Operation::ApplyVerdict:
+        decideConfig(host, token, request, now, output);
+        return;
+    case wire::Operation::ReadConfig:
+        readConfig(host, token, request, now, output);
+        return;
+    case wire::Operation::HostStatus:
+    case wire::Operation::HostMetrics: {
+        wire::ReplyT reply;
+        reply.statusJson = request.operation == wire::Operation::HostStatus ? statusOf(host, now) : metricsOf(host);
+        finish(host, token, std::move(reply), now, output);
+        return;
+    }
+    default:
+        break;
+    }
+    host.cell.config = &host.config;
+    const consensus::Node &node = host.groups.at(cellGroup(host.dataCentre));
+    CellOutput step;
+    handleRequest(host.cell, token, request, now, consensus::holdsLease(node, now.monotonicMs), step);
+    runCell(host, std::move(step), now, output);
+}
+
+void retryRouted(Host &host, const Now &now, HostOutput &output)
+{
+    std::vector<Token> due;
+    std::vector<Token> late;
+    for (const auto &[token, routed] : host.routed) {
+        if (routed.retryAtMs != 0 && routed.retryAtMs <= now.monotonicMs) {
+            due.push_back(token);
+        } else if (routed.callId != 0 && now.monotonicMs >= routed.deadlineMs) {
+            late.push_back(token);
+        }
+    }
+    for (const Token token : due) {
+        route(host, token, now, output);
+    }
+    for (const Token token : late) {
+        host.routed.at(token).maybeReceived = true;
+        giveUp(host, token, model::Reason::HomeUnreachable, output);
+    }
+}
+}
+
+void takeLocal(Host &host, Token token, wire::RequestT request, const Now &now, HostOutput &output)
+{
+    const model::Reason refused = resolveHome(host, request);
+    if (refused != model::Reason::None) {
+        count(host.cell.metrics, refused);
+        output.replies.push_back({token, errorReply(refused, request.key)});
+        return;
+    }
+    RoutedRequest routed;
+    routed.waitUntilMs = request.waitMs == 0 ? 0 : now.monotonicMs + request.waitMs;
+    routed.deadlineMs = now.monotonicMs + request.waitMs + patienceMs(request.operation);
+    routed.request = std::move(request);
+    host.routed.emplace(token, std::move(routed));
+    route(host, token, now, output);
+}
+
+void takeCall(Host &host, const std::string &from, std::uint64_t callId, wire::RequestT request, const Now &now, HostOutput &output)
+{
+    const Target target = targetOf(host, request, 0);
+    if (target.here) {
+        const Token token = host.nextToken++;
+        host.peerOrigins[token] = {from, callId};
+        decide(host, token, request, now, output);
+        return;
+    }
+    if (target.host.empty() || target.host == from || request.hops >= maxHops) {
+        const model::Reason reason = request.hops >= maxHops ? model::Reason::TooManyHops : model::Reason::NoLeader;
+        output.peerReplies.push_back({from, callId, errorReply(reason)});
+        return;
+    }
+    ++request.hops;
+    const std::uint64_t ownCall = host.nextCall++;
+    host.forwarded[ownCall] = {{from, callId}, target.host};
+    output.calls.push_back({target.host, ownCall, std::move(request)});
+}
+
+void takeCallReply(Host &host, std::uint64_t callId, wire::ReplyT reply, const Now &now, HostOutput &output)
+{
+    const auto forwarded = host.forwarded.find(callId);
+    if (forwarded != host.forwarded.end()) {
+        const PeerOrigin &origin = forwarded->second.origin;
+        output.peerReplies.push_back({origin.host, origin.callId, std::move(reply)});
+        host.forwarded.erase(forwarded);
+        return;
+    }
+    const auto call = host.calls.find(callId);
+    if (call == host.calls.end()) {
+        return; // Answered or given up before.
+    }
+    const Token token = call->second;
+    const RoutedRequest &routed = host.routed.at(token);
+    if (reply.error == 0) {
+        host.lastDecider[routed.request.dataCentre] = routed.calledHost;
+    }
+    host.calls.erase(call);
+    finish(host, token, std::move(reply), now, output);
+}
+
+void takePeerState(Host &host, const std::string &peer, const PeerState &state, const Now &now, HostOutput &output)
+{
+    host.peers[peer] = state;
+    if (state.connected) {
+        return;
+    }
+    std::vector<Token> lost;
+    for (const auto &[token, routed] : host.routed) {
+        if (routed.callId != 0 && routed.calledHost == peer) {
+            lost.push_back(token);
+        }
+    }
+    for (const Token token : lost) {
+        host.routed.at(token).maybeReceived = true;
+        retryLater(host, token, model::Reason::NoLeader, now, output);
+    }
+    std::erase_if(host.peerOrigins, [&peer](const auto &entry) {
+        return entry.second.host == peer;
+    });
+    for (const auto &[callId, call] : host.forwarded) {
+        if (call.target == peer) {
+            output.peerReplies.push_back({call.origin.host, call.origin.callId, errorReply(model::Reason::LeadershipLost)});
+        }
+    }
+    std::erase_if(host.forwarded, [&peer](const auto &entry) {
+        return entry.second.origin.host == peer || entry.second.target == peer;
+    });
+}
+}
--- /dev/null
+++ b/Source/model/reason.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <system_error>
+
+namespace rosemaryturn::model
+{
+/** Why a request was refused, an attempt was retried or a task ended as it did. Each has its own counter. */
+enum class Reason : std::uint16_t {
+    None = 0,
+    // Refused at the edge.
+    MalformedJson,
+    BodyTooLarge,
+    WrongType,
+    UnknownField,
+    MissingField,
+    OutOfRange,
+    BadKey,
+    NotFound,
+    TooManyWaiters,
+    // Refused by admission; the work did not run.
+    UnknownService,
+    UnknownTeam,
+    KeyReused,
+    NeverFits,
+    QueueFull,
+    TeamQueueFull,
+    DeadlineTooShort,
+    ShuttingDown,
+    // Refused because the deciding host is not to be had.
+    NoLeader,
+    HomeUnreachable,
+    HomeSilent,
+    LeadershipLost,
+    TooManyHops,
+    // Refused changes of the configuration.
+    RevisionConflict,
+    InvalidDocument,
+    RequestIdReused,
+    NothingToPromote,
+    UnknownRevision,
+    VerdictOutdated,
+    ConfigNotLearnt,
+    // Ends and retries of attempts.
+    Cancelled,
+    QueueDeadline,
+    StartRefused,
+    StartNeverBegan,
+    LeaseExpired,
+    WorkerRestarted,
+    WorkerLostTask,
+    TaskFailed,
+    AttemptsExhausted,
+    RetryBudgetSpent,
+    AnswerCorrupt,
+    AnswerFenced,
+    AnswerExpired,
+    GangIncomplete,
+    RunTimeExceeded,
+    ReplacedByConfig,
+    Preempted,
+    WorkerUnregistered,
+};
+
+/** What the caller of a refused request may do. */
+enum class RetryAdvice {
+    Never, ///< The same request fails again.
+    Later, ///< The same request with the same key may be sent again.
+    Changed, ///< Mend the request first.
+};
+
+/** One row of the table of reasons. */
+struct ReasonInfo
+{
+    Reason reason; ///< The enumerator.
+    std::string_view name; ///< The stable name in bodies, metrics and docs.
+    unsigned httpStatus; ///< The status of an HTTP answer that carries it.
+    RetryAdvice advice; ///< What the caller may do.
+    std::string_view text; ///< What happened and what to do.
+};
+
+/** @return all reasons, in the order of the enumerators. */
+std::span<const ReasonInfo> allReasons();
+
+/** @param reason any reason. @return its row. */
+const ReasonInfo &reasonInfo(Reason reason);
+
+/** @return the category of refused requests. */
+const std::error_category &reasonCategory() noexcept;
+
+/** @param reason any reason. @return it as a std::error_code. */
+std::error_code make_error_code(Reason reason) noexcept;
+}
+
+template<>
+struct std::is_error_code_enum<rosemaryturn::model::Reason> : std::true_type
+{
+};
--- /dev/null
+++ b/Source/policy/admission.cpp
@@ -0,0 +1,94 @@
+#include "policy/admission.h"
+
+#include "policy/placement.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::policy
+{
+namespace
+{
+constexpr std::uint64_t rateWindowMs = 1000;
+constexpr double rateWeight = 0.3;
+constexpr double msPerSecond = 1000.0;
+/** Advice while the queue is full and its rate is unknown. */
+constexpr std::uint64_t defaultRetryAfterMs = 1000;
+
+bool quotaCouldHold(const model::Resources &quota, const model::Resources &need)
+{
+    const auto within = [](std::uint64_t amount, std::uint64_t cap) {
+        return cap == 0 || amount <= cap;
+    };
+    return within(need.cpuMillis, quota.cpuMillis) && within(need.memoryMb, quota.memoryMb) && within(need.accelerators, quota.accelerators);
+}
+
+bool shapeExists(const WorkerPool &pool, std::span<const model::Resources> declared, const model::Resources &need)
+{
+    const bool promised = std::any_of(declared.begin(), declared.end(), [&need](const model::Resources &shape) {
+        return model::fits(need, shape);
+    });
+    return promised || couldEverFit(pool, need);
+}
+
+bool canEverRun(const AdmissionQuery &query, const TeamQueue *team, const WorkerPool &pool, std::span<const model::Resources> declared)
+{
+    if (pool.workers.empty() && declared.empty()) {
+        return true; // Nothing is known yet; the queue's own deadline decides.
+    }
+    model::Resources all;
+    for (const model::Resources &need : query.needs) {
+        if (!shapeExists(pool, declared, need)) {
+            return false;
+        }
+        all = all + need;
+    }
+    const bool gangFits = query.needs.size() == 1 || pool.workers.empty() || model::fits(all, pool.totalOffer);
+    return gangFits && (team == nullptr || quotaCouldHold(team->quota, all));
+}
+}
+
+void noteStarts(StartRate &rate, std::uint64_t nowMs, std::uint64_t count)
+{
+    rate.startedInWindow += count;
+    const std::uint64_t elapsed = nowMs - rate.windowStartMs;
+    if (elapsed < rateWindowMs) {
+        return;
+    }
+    const double now = static_cast<double>(rate.startedInWindow) * msPerSecond / static_cast<double>(elapsed);
+    rate.perSecond = rate.perSecond == 0 ? now : rate.perSecond + rateWeight * (now - rate.perSecond);
+    rate.windowStartMs = nowMs;
+    rate.startedInWindow = 0;
+}
+
+std::uint64_t expectedWaitMs(const StartRate &rate, std::size_t ahead)
+{
+    if (rate.perSecond <= 0) {
+        return 0;
+    }
+    return static_cast<std::uint64_t>(static_cast<double>(ahead) * msPerSecond / rate.perSecond);
+}
+
+AdmissionResult admit(const AdmissionPolicy &policy, const AdmissionQuery &query, const FairQueue &queue, const WorkerPool &pool,
+                      std::span<const model::Resources> declared, const StartRate &rate)
+{
+    const auto found = queue.teams.find(query.team);
+    const TeamQueue *team = found == queue.teams.end() ? nullptr : &found->second;
+    if (!canEverRun(query, team, pool, declared)) {
+        return {model::Reason::NeverFits, 0};
+    }
+    const std::uint64_t wait = expectedWaitMs(rate, queue.queued);
+    const std::uint64_t retryAfterMs = std::max(wait, defaultRetryAfterMs);
+    if (queue.queued + query.needs.size() > policy.maxQueued) {
+        return {model::Reason::QueueFull, retryAfterMs};
+    }
+    const std::size_t teamQueued = team == nullptr ? 0 : team->queued;
+    const std::size_t teamBound = team == nullptr || team->maxQueued == 0 ? policy.maxQueuedPerTeam : team->maxQueued;
+    if (teamQueued + query.needs.size() > teamBound) {
+        return {model::Reason::TeamQueueFull, retryAfterMs};
+    }
+    if (query.queueMs > 0 && !query.urgent && wait > query.queueMs) {
+        return {model::Reason::DeadlineTooShort, wait - query.queueMs};
+    }
+    return {};
+}
+}
--- /dev/null
+++ b/Source/policy/estimate.cpp
@@ -0,0 +1,59 @@
+#include "policy/estimate.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::policy
+{
+namespace
+{
+constexpr double reservedQuantile = 0.9;
+/** Reports before the estimate counts. */
+constexpr std::size_t minReports = 20;
+
+std::uint64_t estimated(const AmountQuantile &amounts)
+{
+    if (boost::accumulators::count(amounts) < minReports) {
+        return 0;
+    }
+    return static_cast<std::uint64_t>(std::max(0.0, boost::accumulators::p_square_quantile(amounts)));
+}
+}
+
+UsageEstimate::UsageEstimate()
+    : cpuMillis(boost::accumulators::quantile_probability = reservedQuantile)
+    , memoryMb(boost::accumulators::quantile_probability = reservedQuantile)
+{
+}
+
+void noteUsage(UsageEstimate &estimate, std::uint64_t cpuMillis, std::uint64_t memoryMb)
+{
+    estimate.cpuMillis(static_cast<double>(cpuMillis));
+    estimate.memoryMb(static_cast<double>(memoryMb));
+}
+
+model::Resources reservedFor(const model::Resources &declared, const UsageEstimate &estimate, const model::Resources &largest)
+{
+    model::Resources result = declared;
+    result.cpuMillis = std::max(declared.cpuMillis, std::min(estimated(estimate.cpuMillis), largest.cpuMillis));
+    result.memoryMb = std::max(declared.memoryMb, std::min(estimated(estimate.memoryMb), largest.memoryMb));
+    return result;
+}
+
+Correction nextCorrection(Correction previous, const model::Resources &declared, const model::Resources &used, bool workerOverfull)
+{
+    const bool exceeds = used.cpuMillis > declared.cpuMillis || used.memoryMb > declared.memoryMb;
+    if (!exceeds || !workerOverfull) {
+        return Correction::None;
+    }
+    switch (previous) {
+    case Correction::None:
+        return Correction::Throttle;
+    case Correction::Throttle:
+        return Correction::Checkpoint;
+    case Correction::Checkpoint:
+    case Correction::Stop:
+        return Correction::Stop;
+    }
+    return Correction::None;
+}
+}
--- /dev/null
+++ b/Source/policy/fairqueue.cpp
@@ -0,0 +1,175 @@
+#include "policy/fairqueue.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::policy
+{
+namespace
+{
+double share(std::uint64_t used, std::uint64_t total)
+{
+    return total == 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(total);
+}
+
+bool hasTasks(const std::map<std::string, ServiceQueue, std::less<>> &services)
+{
+    return !services.empty();
+}
+
+void removeFromOrder(FairQueue &queue, const std::string &name, const TeamQueue &team)
+{
+    const std::pair key{dominantShare(team, queue.total), name};
+    queue.urgentOrder.erase(key);
+    queue.normalOrder.erase(key);
+}
+
+void addToOrder(FairQueue &queue, const std::string &name, const TeamQueue &team)
+{
+    const std::pair key{dominantShare(team, queue.total), name};
+    if (hasTasks(team.urgent)) {
+        queue.urgentOrder.insert(key);
+    }
+    if (hasTasks(team.normal)) {
+        queue.normalOrder.insert(key);
+    }
+}
+
+std::map<std::string, ServiceQueue, std::less<>> &classOf(TeamQueue &team, bool urgent)
+{
+    return urgent ? team.urgent : team.normal;
+}
+
+/** @return the service with the oldest head that is not blocked in this pass. */
+const std::pair<const std::string, ServiceQueue> *oldestService(const std::map<std::string, ServiceQueue, std::less<>> &services, std::uint64_t pass)
+{
+    const std::pair<const std::string, ServiceQueue> *best = nullptr;
+    for (const auto &entry : services) {
+        if (entry.second.blockedInPass == pass) {
+            continue;
+        }
+        if (best == nullptr || entry.second.tasks.front().ticket < best->second.tasks.front().ticket) {
+            best = &entry;
+        }
+    }
+    return best;
+}
+
+bool peekClass(FairQueue &queue, bool urgent, NextTask &next)
+{
+    for (const auto &[teamShare, name] : urgent ? queue.urgentOrder : queue.normalOrder) {
+        const auto *service = oldestService(classOf(queue.teams[name], urgent), queue.pass);
+        if (service == nullptr) {
+            continue;
+        }
+        next = {name, service->first, service->second.tasks.front(), urgent};
+        return true;
+    }
+    return false;
+}
+
+bool partWithin(std::uint64_t used, std::uint64_t need, std::uint64_t quota)
+{
+    return quota == 0 || used + need <= quota;
+}
+}
+
+double dominantShare(const TeamQueue &team, const model::Resources &total)
+{
+    return std::max(
+        {share(team.used.cpuMillis, total.cpuMillis), share(team.used.memoryMb, total.memoryMb), share(team.used.accelerators, total.accelerators)});
+}
+
+void setTotal(FairQueue &queue, const model::Resources &total)
+{
+    queue.total = total;
+    queue.urgentOrder.clear();
+    queue.normalOrder.clear();
+    for (const auto &[name, team] : queue.teams) {
+        addToOrder(queue, name, team);
+    }
+}
+
+void setTeam(FairQueue &queue, const std::string &team, const model::Resources &quota, std::size_t maxQueued)
+{
+    queue.teams[team].quota = quota;
+    queue.teams[team].maxQueued = maxQueued;
+}
+
+std::uint64_t enqueue(FairQueue &queue, const std::string &team, const std::string &service, model::TaskId task, bool urgent)
+{
+    TeamQueue &entry = queue.teams[team];
+    const std::uint64_t ticket = queue.nextTicket++;
+    ServiceQueue &waiting = classOf(entry, urgent)[service];
+    waiting.tasks.push_back({task, ticket});
+    ++entry.queued;
+    ++queue.queued;
+    if (waiting.tasks.size() == 1) {
+        addToOrder(queue, team, entry);
+    }
+    return ticket;
+}
+
+void forget(FairQueue &queue, const std::string &team)
+{
+    --queue.teams[team].queued;
+    --queue.queued;
+}
+
+void beginPass(FairQueue &queue)
+{
+    ++queue.pass;
+}
+
+bool peek(FairQueue &queue, NextTask &next)
+{
+    return peekClass(queue, true, next) || peekClass(queue, false, next);
+}
+
+void take(FairQueue &queue, const NextTask &next, bool counted)
+{
+    TeamQueue &team = queue.teams[next.team];
+    auto &services = classOf(team, next.urgent);
+    const auto service = services.find(next.service);
+    service->second.tasks.pop_front();
+    if (service->second.tasks.empty()) {
+        removeFromOrder(queue, next.team, team);
+        services.erase(service);
+        addToOrder(queue, next.team, team);
+    }
+    if (counted) {
+        forget(queue, next.team);
+    }
+}
+
+void block(FairQueue &queue, const NextTask &next)
+{
+    classOf(queue.teams[next.team], next.urgent).find(next.service)->second.blockedInPass = queue.pass;
+}
+
+void charge(FairQueue &queue, const std::string &team, const model::Resources &need)
+{
+    TeamQueue &entry = queue.teams[team];
+    removeFromOrder(queue, team, entry);
+    entry.used = entry.used + need;
+    addToOrder(queue, team, entry);
+}
+
+void discharge(FairQueue &queue, const std::string &team, const model::Resources &need)
+{
+    TeamQueue &entry = queue.teams[team];
+    removeFromOrder(queue, team, entry);
+    entry.used = entry.used - need;
+    addToOrder(queue, team, entry);
+}
+
+bool withinQuota(const FairQueue &queue, const std::string &team, const model::Resources &need)
+{
+    const auto found = queue.teams.find(team);
+    if (found == queue.teams.end()) {
+        return true;
+    }
+    const TeamQueue &entry = found->second;
+    return partWithin(entry.used.cpuMillis, need.cpuMillis, entry.quota.cpuMillis) && partWithin(entry.used.memoryMb, need.memoryMb, entry.quota.memoryMb)
+        && partWithin(entry.used.accelerators, need.accelerators, entry.quota.accelerators);
+}
+}
--- /dev/null
+++ b/Source/policy/quarantine.cpp
@@ -0,0 +1,106 @@
+#include "policy/quarantine.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::policy
+{
+namespace
+{
+void judgeService(const QuarantinePolicy &policy, ServiceHealth &service)
+{
+    std::set<std::string> failedOn;
+    std::size_t failures = 0;
+    for (const auto &[worker, succeeded] : service.latest) {
+        if (!succeeded) {
+            ++failures;
+            failedOn.insert(worker);
+        }
+    }
+    const double share = static_cast<double>(failures) / static_cast<double>(service.latest.size());
+    service.slowed = failedOn.size() >= policy.serviceWorkers && share >= policy.serviceFailing;
+}
+
+void noteService(const QuarantinePolicy &policy, ServiceHealth &service, const std::string &worker, bool succeeded)
+{
+    service.latest.emplace_back(worker, succeeded);
+    if (service.latest.size() > policy.serviceWindow) {
+        service.latest.pop_front();
+    }
+    judgeService(policy, service);
+}
+
+/** @return whether the service succeeds on other workers, so that the failures speak against this one. */
+bool succeedsElsewhere(const ServiceHealth &service, const std::string &worker)
+{
+    return std::any_of(service.latest.begin(), service.latest.end(), [&worker](const auto &end) {
+        return end.second && end.first != worker;
+    });
+}
+
+bool isToBlame(const Quarantine &quarantine, const std::string &worker, const WorkerHealth &health)
+{
+    if (health.failuresInARow < quarantine.policy.failuresInARow) {
+        return false;
+    }
+    return std::any_of(health.failedServices.begin(), health.failedServices.end(), [&](const std::string &service) {
+        const auto found = quarantine.services.find(service);
+        return found != quarantine.services.end() && !found->second.slowed && succeedsElsewhere(found->second, worker);
+    });
+}
+
+void noteSuccess(Quarantine &quarantine, WorkerHealth &health)
+{
+    if (health.quarantined) {
+        --quarantine.quarantined;
+    }
+    health = WorkerHealth{};
+}
+
+void noteProbeFailure(const QuarantinePolicy &policy, WorkerHealth &health, std::uint64_t nowMs)
+{
+    health.probeAfterMs = std::min(health.probeAfterMs * 2, policy.maxProbeAfterMs);
+    health.probeDueMs = nowMs + health.probeAfterMs;
+}
+}
+
+void noteEnd(Quarantine &quarantine, const std::string &worker, const std::string &service, bool succeeded, std::size_t workerCount, std::uint64_t nowMs)
+{
+    noteService(quarantine.policy, quarantine.services[service], worker, succeeded);
+    WorkerHealth &health = quarantine.workers[worker];
+    if (succeeded) {
+        noteSuccess(quarantine, health);
+        return;
+    }
+    ++health.failuresInARow;
+    health.failedServices.insert(service);
+    if (health.quarantined) {
+        noteProbeFailure(quarantine.policy, health, nowMs);
+        return;
+    }
+    const double shareThen = static_cast<double>(quarantine.quarantined + 1) / static_cast<double>(std::max<std::size_t>(workerCount, 1));
+    if (isToBlame(quarantine, worker, health) && shareThen <= quarantine.policy.maxShare) {
+        health.quarantined = true;
+        health.probeAfterMs = quarantine.policy.probeAfterMs;
+        health.probeDueMs = nowMs + health.probeAfterMs;
+        ++quarantine.quarantined;
+    }
+}
+
+bool isExcluded(const Quarantine &quarantine, const std::string &worker, std::uint64_t nowMs)
+{
+    const auto found = quarantine.workers.find(worker);
+    return found != quarantine.workers.end() && found->second.quarantined && nowMs < found->second.probeDueMs;
+}
+
+bool isProbing(const Quarantine &quarantine, const std::string &worker, std::uint64_t nowMs)
+{
+    const auto found = quarantine.workers.find(worker);
+    return found != quarantine.workers.end() && found->second.quarantined && nowMs >= found->second.probeDueMs;
+}
+
+bool isSlowed(const Quarantine &quarantine, const std::string &service)
+{
+    const auto found = quarantine.services.find(service);
+    return found != quarantine.services.end() && found->second.slowed;
+}
+}
--- /dev/null
+++ b/Source/storage/journal.cpp
@@ -0,0 +1,190 @@
+#include "storage/journal.h"
+
+#include "storage/storageerror.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace rosemaryturn::storage
+{
+namespace
+{
+constexpr std::array<std::uint8_t, 8> fileMark{'R', 'T', 'J', 'R', 'N', 'L', '0', '1'};
+constexpr std::size_t lengthBytes = 8;
+constexpr std::size_t checksumBytes = 8;
+constexpr std::size_t headerBytes = lengthBytes + checksumBytes;
+constexpr unsigned bitsPerByte = 8;
+
+void putNumber(wire::Bytes &bytes, std::uint64_t value)
+{
+    for (std::size_t i = 0; i < sizeof(value); ++i) {
+        bytes.push_back(static_cast<std::uint8_t>(value >> (bitsPerByte * i)));
+    }
+}
+
+std::uint64_t readNumber(std::span<const std::uint8_t> bytes)
+{
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < sizeof(value); ++i) {
+        value |= static_cast<std::uint64_t>(bytes[i]) << (bitsPerByte * i);
+    }
+    return value;
+}
+
+/** The checksum covers the length too, so that a damaged length is not followed. */
+std::uint64_t batchChecksum(std::uint64_t length, std::span<const std::uint8_t> body)
+{
+    return XXH64(body.data(), body.size(), length);
+}
+
+/** @return the body of a whole batch at the start of the bytes; empty when there is none. */
+std::span<const std::uint8_t> wholeBatch(std::span<const std::uint8_t> bytes)
+{
+    if (bytes.size() < headerBytes) {
+        return {};
+    }
+    const std::uint64_t length = readNumber(bytes);
+    if (length == 0 || length > bytes.size() - headerBytes) {
+        return {};
+    }
+    const auto body = bytes.subspan(headerBytes, length);
+    return batchChecksum(length, body) == readNumber(bytes.subspan(lengthBytes)) ? body : std::span<const std::uint8_t>{};
+}
+
+bool anyBatchBehind(std::span<const std::uint8_t> bytes)
+{
+    for (std::size_t offset = 1; offset + headerBytes < bytes.size(); ++offset) {
+        if (!wholeBatch(bytes.subspan(offset)).empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool takeRecords(std::span<const std::uint8_t> body, std::vector<wire::JournalRecordT> &records)
+{
+    const wire::Bytes aligned(body.begin(), body.end());
+    const auto batch = wire::decode<wire::JournalBatchT>(aligned);
+    if (!batch) {
+        return false;
+    }
+    for (const auto &record : batch->records) {
+        records.push_back(std::move(*record));
+    }
+    return true;
+}
+
+wire::Bytes fileOf(std::span<const wire::JournalRecordT> records)
+{
+    wire::Bytes bytes(fileMark.begin(), fileMark.end());
+    if (!records.empty()) {
+        const wire::Bytes batch = encodeBatch(records);
+        bytes.insert(bytes.end(), batch.begin(), batch.end());
+    }
+    return bytes;
+}
+}
+
+wire::Bytes encodeBatch(std::span<const wire::JournalRecordT> records)
+{
+    wire::JournalBatchT batch;
+    for (const wire::JournalRecordT &record : records) {
+        batch.records.push_back(std::make_unique<wire::JournalRecordT>(record));
+    }
+    const wire::Bytes body = wire::encode(batch);
+    wire::Bytes bytes;
+    bytes.reserve(headerBytes + body.size());
+    putNumber(bytes, body.size());
+    putNumber(bytes, batchChecksum(body.size(), body));
+    bytes.insert(bytes.end(), body.begin(), body.end());
+    return bytes;
+}
+
+JournalContent parseJournal(std::span<const std::uint8_t> bytes, std::error_code &error)
+{
+    JournalContent content;
+    if (bytes.size() < fileMark.size()) {
+        content.tornBytes = bytes.size();
+        return content;
+    }
+    if (!std::equal(fileMark.begin(), fileMark.end(), bytes.begin())) {
+        error = StorageError::UnknownFormat;
+        return content;
+    }
+    std::size_t offset = fileMark.size();
+    while (offset < bytes.size()) {
+        const auto rest = bytes.subspan(offset);
+        const auto body = wholeBatch(rest);
+        if (body.empty()) {
+            if (anyBatchBehind(rest)) {
+                error = StorageError::Corrupt;
+            }
+            break;
+        }
+        if (!takeRecords(body, content.records)) {
+            error = StorageError::Corrupt;
+            break;
+        }
+        offset += headerBytes + body.size();
+    }
+    content.validBytes = offset;
+    content.tornBytes = bytes.size() - offset;
+    return content;
+}
+
+std::error_code Journal::open(const std::filesystem::path &path, JournalContent &content)
+{
+    m_path = path;
+    std::error_code error;
+    if (!std::filesystem::exists(path)) {
+        if ((error = replaceFile(path, fileOf({})))) {
+            return error;
+        }
+    }
+    const auto bytes = readFile(path, error);
+    if (error) {
+        return error;
+    }
+    content = parseJournal(bytes, error);
+    if (error) {
+        return error;
+    }
+    if (content.validBytes == 0) {
+        if ((error = replaceFile(path, fileOf({})))) {
+            return error;
+        }
+    } else if (content.tornBytes > 0) {
+        std::filesystem::resize_file(path, content.validBytes, error);
+        if (error) {
+            return error;
+        }
+    }
+    if ((error = m_file.open(path, false))) {
+        return error;
+    }
+    return m_file.sync();
+}
+
+std::error_code Journal::append(std::span<const wire::JournalRecordT> records)
+{
+    if (const std::error_code error = m_file.append(encodeBatch(records))) {
+        return error;
+    }
+    return m_file.sync();
+}
+
+std::error_code Journal::replace(std::span<const wire::JournalRecordT> records)
+{
+    if (const std::error_code error = replaceFile(m_path, fileOf(records))) {
+        return error;
+    }
+    return m_file.open(m_path, false);
+}
+
+std::uint64_t Journal::size() const
+{
+    return m_file.size();
+}
+}
--- /dev/null
+++ b/Source/telemetry/event.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rosemaryturn::telemetry
+{
+/** Numbered events of the log. */
+enum class Event {
+    Starting = 1001,
+    Ready = 1002,
+    Draining = 1003,
+    Stopped = 1004,
+    SettingsRefused = 1005,
+    HttpUnavailable = 1006,
+    JournalRestored = 2001,
+    JournalTornTail = 2002,
+    JournalFailed = 2003,
+    DataFolderRefused = 2004,
+    LeadershipGained = 3001,
+    LeadershipLost = 3002,
+    MembershipChanged = 3003,
+    PeerConnected = 4001,
+    PeerDisconnected = 4002,
+    PeerSilent = 4003,
+    PeerRefused = 4004,
+    ConfigInForce = 5001,
+    RequestRefused = 6001,
+    StartFailed = 6002,
+};
+
+/** How grave an event is. */
+enum class Level {
+    Debug,
+    Info,
+    Warn,
+    Error,
+};
+
+/** One row of the table of events. */
+struct EventInfo
+{
+    Event event;
+    Level level;
+    std::string_view name;
+    std::string_view text; ///< What happened and what an operator does about it.
+};
+
+/** One key and value of a log line. */
+struct Field
+{
+    std::string_view key;
+    std::string value;
+};
+
+/** @return all events, in the order of their numbers. */
+std::span<const EventInfo> allEvents();
+
+/** @param event an event. @return its row. */
+const EventInfo &eventInfo(Event event);
+
+/** @param event an event. @param fields its fields. @return the line RT-NNNN name key=value ... */
+std::string formatEvent(Event event, const std::vector<Field> &fields);
+}
--- /dev/null
+++ b/Source/telemetry/metrics.cpp
@@ -0,0 +1,68 @@
+#include "telemetry/metrics.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace rosemaryturn::telemetry
+{
+namespace
+{
+const std::array<double, 3> probabilities{0.5, 0.9, 0.99};
+constexpr double microsPerSecond = 1e6;
+constexpr std::uint64_t bytesPerKb = 1024;
+}
+
+DurationQuantiles::DurationQuantiles()
+    : m_values(boost::accumulators::extended_p_square_probabilities = probabilities)
+{
+}
+
+void DurationQuantiles::note(std::uint64_t milliseconds)
+{
+    m_values(static_cast<double>(milliseconds));
+}
+
+std::uint64_t DurationQuantiles::count() const
+{
+    return boost::accumulators::count(m_values);
+}
+
+double DurationQuantiles::quantile(double probability) const
+{
+    if (count() == 0) {
+        return 0;
+    }
+    if (count() < probabilities.size() * 2 + 3) {
+        return longest(); // The estimator needs some values before it is meaningful.
+    }
+    return boost::accumulators::quantile(m_values, boost::accumulators::quantile_probability = probability);
+}
+
+double DurationQuantiles::longest() const
+{
+    return count() == 0 ? 0 : boost::accumulators::max(m_values);
+}
+
+void count(Metrics &metrics, model::Reason reason)
+{
+    ++metrics.reasons.at(static_cast<std::size_t>(reason));
+}
+
+ProcessCost processCost()
+{
+    ProcessCost cost;
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    cost.cpuSeconds = static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
+        + static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / microsPerSecond;
+    std::ifstream statm("/proc/self/statm");
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    if (statm >> total >> resident) {
+        cost.residentKb = resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)) / bytesPerKb;
+    }
+    return cost;
+}
+}
--- /dev/null
+++ b/Source/transport/gateway.cpp
@@ -0,0 +1,68 @@
+#include "transport/gateway.h"
+
+#include "model/reason.h"
+
+#include <chrono>
+#include <utility>
+
+namespace rosemaryturn::transport
+{
+namespace
+{
+/** The control thread answers every request by its own deadline; this is only against its end. */
+constexpr std::uint64_t graceMs = 15000;
+
+wire::ReplyT refusedReply(model::Reason reason)
+{
+    wire::ReplyT reply;
+    reply.error = static_cast<std::uint16_t>(reason);
+    return reply;
+}
+}
+
+Gateway::Gateway(Post post, std::uint64_t maxWaiters)
+    : m_post(std::move(post))
+    , m_maxWaiters(maxWaiters)
+{
+}
+
+wire::ReplyT Gateway::call(wire::RequestT request)
+{
+    std::future<wire::ReplyT> answer;
+    control::Token token = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_open.size() >= m_maxWaiters) {
+            return refusedReply(model::Reason::TooManyWaiters);
+        }
+        token = m_nextToken++;
+        answer = m_open[token].get_future();
+    }
+    const std::uint64_t patienceMs = request.waitMs + graceMs;
+    const bool taken = m_post(token, std::move(request));
+    const bool answered = taken && answer.wait_for(std::chrono::milliseconds(patienceMs)) == std::future_status::ready;
+    const std::lock_guard lock(m_mutex);
+    if (answered || answer.wait_for(std::chrono::seconds(0)) == std::future_status::ready) {
+        return answer.get();
+    }
+    m_open.erase(token);
+    return refusedReply(taken ? model::Reason::HomeSilent : model::Reason::QueueFull);
+}
+
+void Gateway::deliver(control::TokenReply reply)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_open.find(reply.token);
+    if (found == m_open.end()) {
+        return;
+    }
+    found->second.set_value(std::move(reply.reply));
+    m_open.erase(found);
+}
+
+std::uint64_t Gateway::waiting() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_open.size();
+}
+}
--- /dev/null
+++ b/Source/transport/peerconnection.cpp
@@ -0,0 +1,121 @@
+#include "transport/peerconnection.h"
+
+#include "transport/transporterror.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+namespace rosemaryturn::transport
+{
+namespace
+{
+constexpr std::size_t readBytes = std::size_t{64} * 1024;
+
+bool wouldBlock()
+{
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR || errno == ENOTCONN;
+}
+}
+
+PeerConnection::PeerConnection(int descriptor, bool dialledHere, std::uint64_t nowMs)
+    : dialled(dialledHere)
+    , heardMs(nowMs)
+    , m_descriptor(descriptor)
+{
+}
+
+PeerConnection::~PeerConnection()
+{
+    if (m_descriptor >= 0) {
+        ::close(m_descriptor);
+    }
+}
+
+PeerConnection::PeerConnection(PeerConnection &&other) noexcept
+    : peer(std::move(other.peer))
+    , dialled(other.dialled)
+    , greeted(other.greeted)
+    , heardMs(other.heardMs)
+    , nextHeartbeatMs(other.nextHeartbeatMs)
+    , m_descriptor(std::exchange(other.m_descriptor, -1))
+    , m_reader(std::move(other.m_reader))
+    , m_output(std::move(other.m_output))
+    , m_sent(other.m_sent)
+{
+}
+
+PeerConnection &PeerConnection::operator=(PeerConnection &&other) noexcept
+{
+    if (this != &other) {
+        std::swap(m_descriptor, other.m_descriptor);
+        std::swap(m_reader, other.m_reader);
+        std::swap(m_output, other.m_output);
+        std::swap(m_sent, other.m_sent);
+        peer = std::move(other.peer);
+        dialled = other.dialled;
+        greeted = other.greeted;
+        heardMs = other.heardMs;
+        nextHeartbeatMs = other.nextHeartbeatMs;
+    }
+    return *this;
+}
+
+std::size_t PeerConnection::queue(const wire::PeerFrameT &frame)
+{
+    const wire::Bytes bytes = wire::encodeFrame(frame);
+    m_output.insert(m_output.end(), bytes.begin(), bytes.end());
+    return bytes.size();
+}
+
+std::error_code PeerConnection::flush()
+{
+    while (m_sent < m_output.size()) {
+        const ssize_t written = ::send(m_descriptor, m_output.data() + m_sent, m_output.size() - m_sent, MSG_NOSIGNAL);
+        if (written < 0) {
+            return wouldBlock() ? std::error_code{} : std::error_code(errno, std::generic_category());
+        }
+        m_sent += static_cast<std::size_t>(written);
+    }
+    m_output.clear();
+    m_sent = 0;
+    return {};
+}
+
+std::error_code PeerConnection::receive(std::uint64_t nowMs, std::vector<std::unique_ptr<wire::PeerFrameT>> &frames)
+{
+    std::array<std::uint8_t, readBytes> buffer{};
+    const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
+    if (count == 0) {
+        return TransportError::NoConnection;
+    }
+    if (count < 0) {
+        return wouldBlock() ? std::error_code{} : std::error_code(errno, std::generic_category());
+    }
+    heardMs = nowMs;
+    m_reader.append({buffer.data(), static_cast<std::size_t>(count)});
+    std::error_code error;
+    while (auto frame = m_reader.next(error)) {
+        frames.push_back(std::move(frame));
+    }
+    return error;
+}
+
+bool PeerConnection::hasOutput() const
+{
+    return m_sent < m_output.size();
+}
+
+std::size_t PeerConnection::queuedBytes() const
+{
+    return m_output.size() - m_sent;
+}
+
+int PeerConnection::descriptor() const
+{
+    return m_descriptor;
+}
+}
--- /dev/null
+++ b/Source/transport/peernetwork.cpp
@@ -0,0 +1,351 @@
+#include "transport/peernetwork.h"
+
+#include "telemetry/log.h"
+#include "transport/transporterror.h"
+#include "wire/wireerror.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+
+namespace rosemaryturn::transport
+{
+namespace
+{
+constexpr std::uint64_t dialEveryMs = 200;
+constexpr int pollMs = 50;
+constexpr int listenBacklog = 64;
+/** Heartbeats in the silence that retires a connection. */
+constexpr std::uint64_t heartbeatsPerSilence = 4;
+/** Bytes that may wait on a connection before it is retired. */
+constexpr std::size_t maxQueuedBytes = 2 * wire::maxFrameBytes;
+
+std::uint64_t steadyMs()
+{
+    using namespace std::chrono;
+    return static_cast<std::uint64_t>(duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count());
+}
+
+sockaddr_in addressOf(const config::HostSettings &host)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(host.peerPort);
+    inet_pton(AF_INET, host.address.c_str(), &address.sin_addr);
+    return address;
+}
+
+void setNoDelay(int descriptor)
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+template<typename Body>
+wire::PeerFrameT frameOf(Body body)
+{
+    wire::PeerFrameT frame;
+    frame.body.Set(std::move(body));
+    return frame;
+}
+}
+
+PeerNetwork::PeerNetwork(const config::Settings &settings, std::uint64_t incarnation, PeerHandlers handlers)
+    : m_settings(settings)
+    , m_self(config::ownHost(settings))
+    , m_incarnation(incarnation)
+    , m_handlers(std::move(handlers))
+{
+    for (const config::HostSettings &host : settings.hosts) {
+        if (host.id != m_self.id) {
+            m_dials[host.id].host = host;
+        }
+    }
+}
+
+PeerNetwork::~PeerNetwork()
+{
+    stop();
+}
+
+std::error_code PeerNetwork::start()
+{
+    m_wake = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    m_listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in address = addressOf(m_self);
+    if (bind(m_listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || listen(m_listener, listenBacklog) != 0) {
+        return TransportError::ListenFailed;
+    }
+    m_thread = std::thread([this] {
+        run();
+    });
+    return {};
+}
+
+void PeerNetwork::stop()
+{
+    m_stopping = true;
+    if (m_thread.joinable()) {
+        eventfd_write(m_wake, 1);
+        m_thread.join();
+    }
+    for (int *descriptor : {&m_listener, &m_wake}) {
+        if (*descriptor >= 0) {
+            ::close(*descriptor);
+            *descriptor = -1;
+        }
+    }
+}
+
+void PeerNetwork::send(const std::string &to, wire::PeerFrameT frame)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_queue.emplace_back(to, std::move(frame));
+    }
+    eventfd_write(m_wake, 1);
+}
+
+telemetry::TrafficTotals PeerNetwork::totals() const
+{
+    return {m_bytesWithin, m_bytesAcross, m_retired};
+}
+
+wire::PeerFrameT PeerNetwork::ownHello() const
+{
+    wire::HelloT hello;
+    hello.cluster = m_settings.cluster;
+    hello.host = m_self.id;
+    hello.incarnation = m_incarnation;
+    hello.oldestVersion = wire::oldestProtocolVersion;
+    hello.newestVersion = wire::newestProtocolVersion;
+    return frameOf(std::move(hello));
+}
+
+void PeerNetwork::run()
+{
+    while (!m_stopping) {
+        const std::uint64_t nowMs = steadyMs();
+        dialMissing(nowMs);
+        sendQueued();
+        waitForTraffic();
+        serve(steadyMs());
+        closeFailed(steadyMs());
+    }
+    m_connections.clear();
+}
+
+void PeerNetwork::dialMissing(std::uint64_t nowMs)
+{
+    for (auto &[name, dial] : m_dials) {
+        if (dial.open || nowMs < dial.nextDialMs) {
+            continue;
+        }
+        dial.nextDialMs = nowMs + dialEveryMs;
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = addressOf(dial.host);
+        const int result = connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        if (descriptor < 0 || (result != 0 && errno != EINPROGRESS)) {
+            ::close(descriptor);
+            continue;
+        }
+        setNoDelay(descriptor);
+        m_connections.emplace_front(descriptor, true, nowMs);
+        dial.connection = m_connections.begin();
+        dial.connection->peer = name;
+        dial.connection->queue(ownHello());
+        dial.open = true;
+    }
+}
+
+void PeerNetwork::acceptNew(std::uint64_t nowMs)
+{
+    while (true) {
+        const int descriptor = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            return;
+        }
+        setNoDelay(descriptor);
+        m_connections.emplace_back(descriptor, false, nowMs);
+    }
+}
+
+void PeerNetwork::count(const std::string &peer, std::size_t bytes)
+{
+    const config::HostSettings *host = config::findHost(m_settings, peer);
+    const bool within = host != nullptr && host->dataCentre == m_self.dataCentre;
+    (within ? m_bytesWithin : m_bytesAcross) += bytes;
+}
+
+void PeerNetwork::sendQueued()
+{
+    std::vector<std::pair<std::string, wire::PeerFrameT>> frames;
+    {
+        const std::lock_guard lock(m_mutex);
+        frames.swap(m_queue);
+    }
+    for (const auto &[to, frame] : frames) {
+        const auto dial = m_dials.find(to);
+        if (dial == m_dials.end() || !dial->second.open || !dial->second.connection->greeted) {
+            continue; // Whoever sent it is told by the state of the peer, or sends again.
+        }
+        count(to, dial->second.connection->queue(frame));
+    }
+}
+
+void PeerNetwork::waitForTraffic()
+{
+    std::vector<pollfd> waits;
+    waits.push_back({m_wake, POLLIN, 0});
+    waits.push_back({m_listener, POLLIN, 0});
+    for (PeerConnection &connection : m_connections) {
+        if (const std::error_code error = connection.flush()) {
+            m_failed.emplace_back(&connection, error);
+        }
+        const auto events = static_cast<short>(connection.hasOutput() ? POLLIN | POLLOUT : POLLIN);
+        waits.push_back({connection.descriptor(), events, 0});
+    }
+    poll(waits.data(), waits.size(), m_failed.empty() ? pollMs : 0);
+    eventfd_t drained = 0;
+    eventfd_read(m_wake, &drained);
+}
+
+void PeerNetwork::serve(std::uint64_t nowMs)
+{
+    acceptNew(nowMs);
+    for (PeerConnection &connection : m_connections) {
+        std::error_code error;
+        readFrom(connection, nowMs, error);
+        if (!error) {
+            keepAlive(connection, nowMs, error);
+        }
+        if (!error) {
+            error = connection.flush();
+        }
+        if (error) {
+            m_failed.emplace_back(&connection, error);
+        }
+    }
+}
+
+void PeerNetwork::readFrom(PeerConnection &connection, std::uint64_t nowMs, std::error_code &error)
+{
+    std::vector<std::unique_ptr<wire::PeerFrameT>> frames;
+    error = connection.receive(nowMs, frames);
+    for (const auto &frame : frames) {
+        const std::error_code refused = takeFrame(connection, *frame);
+        if (refused) {
+            error = refused;
+            return;
+        }
+    }
+}
+
+std::error_code PeerNetwork::takeHello(PeerConnection &connection, const wire::HelloT &hello)
+{
+    std::uint16_t version = 0;
+    if (const std::error_code error = wire::checkHello(hello, m_settings.cluster, version)) {
+        telemetry::log(telemetry::Event::PeerRefused, {{"peer", hello.host}, {"cause", error.message()}});
+        return error;
+    }
+    connection.greeted = true;
+    if (connection.dialled) {
+        telemetry::log(telemetry::Event::PeerConnected, {{"peer", connection.peer}, {"version", std::to_string(version)}});
+        m_handlers.peer(connection.peer, {true, hello.incarnation});
+    } else {
+        connection.peer = hello.host;
+        count(connection.peer, connection.queue(ownHello()));
+    }
+    return {};
+}
+
+std::error_code PeerNetwork::takeFrame(PeerConnection &connection, wire::PeerFrameT &frame)
+{
+    if (const wire::HelloT *hello = frame.body.AsHello()) {
+        return takeHello(connection, *hello);
+    }
+    if (!connection.greeted) {
+        return wire::WireError::Malformed;
+    }
+    switch (frame.body.type) {
+    case wire::PeerBody::Heartbeat:
+        if (!connection.dialled) {
+            count(connection.peer, connection.queue(frame));
+        }
+        return {};
+    case wire::PeerBody::Call: {
+        wire::CallT *call = frame.body.AsCall();
+        if (!call->request) {
+            return wire::WireError::Malformed;
+        }
+        m_handlers.call(connection.peer, call->id, std::move(*call->request));
+        return {};
+    }
+    case wire::PeerBody::CallReply: {
+        wire::CallReplyT *reply = frame.body.AsCallReply();
+        if (!reply->reply) {
+            return wire::WireError::Malformed;
+        }
+        m_handlers.reply(reply->id, std::move(*reply->reply));
+        return {};
+    }
+    case wire::PeerBody::ConsensusMessage:
+        m_handlers.message(std::move(*frame.body.AsConsensusMessage()));
+        return {};
+    case wire::PeerBody::Hello:
+    case wire::PeerBody::NONE:
+        break;
+    }
+    return wire::WireError::Malformed;
+}
+
+void PeerNetwork::keepAlive(PeerConnection &connection, std::uint64_t nowMs, std::error_code &error)
+{
+    const std::uint64_t silenceMs = m_settings.timing.peerSilenceMs;
+    if (nowMs > connection.heardMs + silenceMs || connection.queuedBytes() > maxQueuedBytes) {
+        telemetry::log(telemetry::Event::PeerSilent, {{"peer", connection.peer}});
+        ++m_retired;
+        error = TransportError::NoConnection;
+        return;
+    }
+    if (connection.dialled && connection.greeted && nowMs >= connection.nextHeartbeatMs) {
+        connection.nextHeartbeatMs = nowMs + silenceMs / heartbeatsPerSilence;
+        wire::HeartbeatT heartbeat;
+        heartbeat.sentMs = nowMs;
+        count(connection.peer, connection.queue(frameOf(heartbeat)));
+    }
+}
+
+void PeerNetwork::closeFailed(std::uint64_t nowMs)
+{
+    for (const auto &[failed, error] : m_failed) {
+        const auto found = std::find_if(m_connections.begin(), m_connections.end(), [failedConnection = failed](const PeerConnection &connection) {
+            return &connection == failedConnection;
+        });
+        if (found == m_connections.end()) {
+            continue; // Failed twice in this round.
+        }
+        if (found->dialled) {
+            Dial &dial = m_dials.at(found->peer);
+            dial.open = false;
+            dial.nextDialMs = nowMs + dialEveryMs;
+            if (found->greeted) {
+                telemetry::log(telemetry::Event::PeerDisconnected, {{"peer", found->peer}, {"cause", error.message()}});
+                m_handlers.peer(found->peer, {false, 0});
+            }
+        }
+        m_connections.erase(found);
+    }
+    m_failed.clear();
+}
+}
--- /dev/null
+++ b/Source/transport/peernetwork.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "config/settings.h"
+#include "control/host.h"
+#include "telemetry/metrics.h"
+#include "transport/peerconnection.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <mutex>
+#include <string>
+#include <system_error>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace rosemaryturn::transport
+{
+/** What the peer thread tells; called on its own thread. */
+struct PeerHandlers
+{
+    std::function<void(const std::string &from, std::uint64_t id, wire::RequestT request)> call;
+    std::function<void(std::uint64_t id, wire::ReplyT reply)> reply;
+    std::function<void(wire::ConsensusMessageT message)> message;
+    std::function<void(const std::string &peer, const control::PeerState &state)> peer;
+};
+
+/**
+ * Connections to all other entry hosts, on one thread.
+ *
+ * Each host dials each other host and sends on the connections that it dialled; the other end echoes
+ * heartbeats on them. So a connection that goes silent in either direction is noticed by its dialler,
+ * retired, and replaced by a fresh one.
+ */
+class PeerNetwork
+{
+public:
+    /** @param settings checked settings. @param incarnation of this host. @param handlers what to tell. */
+    PeerNetwork(const config::Settings &settings, std::uint64_t incarnation, PeerHandlers handlers);
+    ~PeerNetwork();
+    PeerNetwork(const PeerNetwork &) = delete;
+    PeerNetwork &operator=(const PeerNetwork &) = delete;
+
+    /** Opens the peer port and starts the thread. @return an error, or none. */
+    std::error_code start();
+    /** Closes all connections and ends the thread. */
+    void stop();
+    /** Queues a frame for a host; dropped while there is no connection. @param to the host. @param frame the frame. */
+    void send(const std::string &to, wire::PeerFrameT frame);
+    /** @return bytes and connections so far. */
+    telemetry::TrafficTotals totals() const;
+
+private:
+    struct Dial
+    {
+        config::HostSettings host;
+        std::uint64_t nextDialMs = 0;
+        std::list<PeerConnection>::iterator connection;
+        bool open = false;
+    };
+
+    void run();
+    void dialMissing(std::uint64_t nowMs);
+    void acceptNew(std::uint64_t nowMs);
+    void sendQueued();
+    void serve(std::uint64_t nowMs);
+    void readFrom(PeerConnection &connection, std::uint64_t nowMs, std::error_code &error);
+    std::error_code takeFrame(PeerConnection &connection, wire::PeerFrameT &frame);
+    std::error_code takeHello(PeerConnection &connection, const wire::HelloT &hello);
+    void keepAlive(PeerConnection &connection, std::uint64_t nowMs, std::error_code &error);
+    void closeFailed(std::uint64_t nowMs);
+    void count(const std::string &peer, std::size_t bytes);
+    void waitForTraffic();
+    wire::PeerFrameT ownHello() const;
+
+    config::Settings m_settings;
+    config::HostSettings m_self;
+    std::uint64_t m_incarnation;
+    PeerHandlers m_handlers;
+    int m_listener = -1;
+    int m_wake = -1;
+    std::list<PeerConnection> m_connections;
+    std::map<std::string, Dial> m_dials;
+    std::vector<std::pair<PeerConnection *, std::error_code>> m_failed;
+    std::mutex m_mutex;
+    std::vector<std::pair<std::string, wire::PeerFrameT>> m_queue;
+    std::atomic<bool> m_stopping{false};
+    std::atomic<std::uint64_t> m_bytesWithin{0};
+    std::atomic<std::uint64_t> m_bytesAcross{0};
+    std::atomic<std::uint64_t> m_retired{0};
+    std::thread m_thread;
+};
+}
