--- /dev/null
+++ b/Source/wire/frame.cpp
@@ -0,0 +1,87 @@
+#include "wire/frame.h"
+
+#include "wire/wireerror.h"
+
+#include <algorithm>
+
+namespace rosemaryturn::wire
+{
+namespace
+{
+constexpr unsigned bitsPerByte = 8;
+
+std::size_t readLength(const std::uint8_t *header)
+{
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < frameHeaderBytes; ++i) {
+        length |= static_cast<std::size_t>(header[i]) << (bitsPerByte * i);
+    }
+    return length;
+}
+}
+
+Bytes encodeFrame(const PeerFrameT &frame)
+{
+    const Bytes body = encode(frame);
+    Bytes result;
+    result.reserve(frameHeaderBytes + body.size());
+    for (std::size_t i = 0; i < frameHeaderBytes; ++i) {
+        result.push_back(static_cast<std::uint8_t>(body.size() >> (bitsPerByte * i)));
+    }
+    result.insert(result.end(), body.begin(), body.end());
+    return result;
+}
+
+void FrameReader::append(std::span<const std::uint8_t> bytes)
+{
+    if (m_consumed > 0) {
+        m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<std::ptrdiff_t>(m_consumed));
+        m_consumed = 0;
+    }
+    m_buffer.insert(m_buffer.end(), bytes.begin(), bytes.end());
+}
+
+std::unique_ptr<PeerFrameT> FrameReader::next(std::error_code &error)
+{
+    const std::size_t available = m_buffer.size() - m_consumed;
+    if (available < frameHeaderBytes) {
+        return nullptr;
+    }
+    const std::size_t length = readLength(m_buffer.data() + m_consumed);
+    if (length > maxFrameBytes) {
+        error = WireError::FrameTooLarge;
+        return nullptr;
+    }
+    if (length == 0) {
+        error = WireError::FrameEmpty;
+        return nullptr;
+    }
+    if (available < frameHeaderBytes + length) {
+        return nullptr;
+    }
+    // The verifier wants an aligned start, which the stream does not promise.
+    const auto begin = m_buffer.begin() + static_cast<std::ptrdiff_t>(m_consumed + frameHeaderBytes);
+    const Bytes body(begin, begin + static_cast<std::ptrdiff_t>(length));
+    m_consumed += frameHeaderBytes + length;
+    auto frame = decode<PeerFrameT>(body);
+    if (!frame || frame->body.value == nullptr) {
+        error = WireError::Malformed;
+        return nullptr;
+    }
+    return frame;
+}
+
+std::error_code checkHello(const HelloT &hello, std::string_view cluster, std::uint16_t &version)
+{
+    if (hello.cluster != cluster) {
+        return WireError::ClusterMismatch;
+    }
+    const std::uint16_t oldest = std::max(hello.oldestVersion, oldestProtocolVersion);
+    const std::uint16_t newest = std::min(hello.newestVersion, newestProtocolVersion);
+    if (oldest > newest) {
+        return WireError::VersionMismatch;
+    }
+    version = newest;
+    return {};
+}
+}
