control: Never give accepted work up for a retry budget

Ruled out: a larger burst, which only moves the number of lost hosts at which accepted work is dropped.

Change: only reported failures draw on the budget, and a spent budget means the longest back-off instead of an end. attempts and retryPercent of the document count now; retryPercent had no effect before.

--- a/Source/control/cellattempts.cpp
+++ b/Source/control/cellattempts.cpp
@@ -60,15 +60,38 @@
     if (task.spec.kind == wire::TaskKind::Service || isFree(reason)) {
         return model::Reason::None;
     }
-    const QualifiedService service = findQualified(*cell.config, task.spec.service);
-    const std::uint32_t attempts = service.declaration == nullptr ? cell.options.retry.maxAttempts : service.declaration->attempts;
-    if (live.countedAttempts >= attempts) {
-        return model::Reason::AttemptsExhausted;
+    return live.countedAttempts >= retryPolicyOf(cell, task.spec.service).maxAttempts ? model::Reason::AttemptsExhausted : model::Reason::None;
+}
+
+/** @return how long the next attempt waits. */
+std::uint64_t retryDelayMs(Cell &cell, const model::Task &task, const LiveTask &live, AttemptEnd end, model::Reason reason)
+{
+    if (isFree(reason)) {
+        return 0;
+    }
+    const policy::RetryPolicy policy = retryPolicyOf(cell, task.spec.service);
+    // The budget is against failures that feed on retries. Work whose host went away adds no load by running
+    // again, and accepted work is never given up for a budget: it waits longer.
+    if (end == AttemptEnd::Failed && !policy::takeRetry(cell.leader.budgets[task.spec.service])) {
+        count(cell.metrics, model::Reason::RetryBudgetSpent);
+        return policy.capMs;
     }
-    return policy::takeRetry(cell.leader.budgets[task.spec.service]) ? model::Reason::None : model::Reason::RetryBudgetSpent;
+    return policy::backoffMs(policy, live.countedAttempts, cell.random);
 }
 }
 
+policy::RetryPolicy retryPolicyOf(const Cell &cell, const std::string &service)
+{
+    constexpr double percent = 100.0;
+    policy::RetryPolicy policy = cell.options.retry;
+    const QualifiedService found = findQualified(*cell.config, service);
+    if (found.declaration != nullptr) {
+        policy.maxAttempts = found.declaration->attempts;
+        policy.budgetShare = found.declaration->retryPercent / percent;
+    }
+    return policy;
+}
+
 void proposeEnd(Cell &cell, const model::Task &task, wire::Outcome outcome, model::Reason reason, const wire::Bytes &answer, const Now &now, CellOutput &output)
 {
     const auto live = cell.leader.live.find(task.id);
@@ -101,8 +124,7 @@
     }
     const model::Reason refusal = repeatRefusal(cell, task, live, end, reason);
     if (refusal == model::Reason::None) {
-        const std::uint64_t delayMs = isFree(reason) ? 0 : policy::backoffMs(cell.options.retry, live.countedAttempts, cell.random);
-        proposeRequeue(cell, task, live, reason, delayMs, now, output);
+        proposeRequeue(cell, task, live, reason, retryDelayMs(cell, task, live, end, reason), now, output);
     } else {
         const bool cancelledUnstarted = refusal == model::Reason::Cancelled && end == AttemptEnd::NeverBegan;
         proposeEnd(cell, task, cancelledUnstarted ? wire::Outcome::NotRun : outcomeOf(end, task.spec.idempotent), refusal, answer, now, output);
--- a/Source/control/cellinternal.h
+++ b/Source/control/cellinternal.h
@@ -43,6 +43,7 @@
 
 // cellattempts.cpp
 void attemptEnded(Cell &cell, model::TaskId id, AttemptEnd end, model::Reason reason, const wire::Bytes &answer, const Now &now, CellOutput &output);
+policy::RetryPolicy retryPolicyOf(const Cell &cell, const std::string &service);
 void requestStop(Cell &cell, model::TaskId id, model::Reason reason);
 void breakGang(Cell &cell, const model::Task &member);
 void proposeEnd(Cell &cell, const model::Task &task, wire::Outcome outcome, model::Reason reason, const wire::Bytes &answer, const Now &now,
--- a/Source/control/cellsubmit.cpp
+++ b/Source/control/cellsubmit.cpp
@@ -159,7 +159,7 @@
         refuse(cell, output, token, admitted.reason, name, admitted.retryAfterMs);
         return;
     }
-    policy::countFresh(cell.leader.budgets[name], cell.options.retry);
+    policy::countFresh(cell.leader.budgets[name], retryPolicyOf(cell, name));
     const wire::TaskSpecT &first = *record.specs.front();
     cell.leader.pendingSubmits[first.key].push_back({token, first.digest, untilMs});
     output.proposals.push_back(wire::encodeChange(std::move(record)));
