control: Ask a worker to void a start of unknown fate

Ruled out: bounding the time between two announcements from both sides; with the default durations the two bounds never hold together.

Change: the reply to an announcement asks the worker to void an unlisted start. A worker that never saw the attempt refuses it from then on and says so by a result; one that saw it says nothing, and the end of the lease decides. A start that arrives twice is told 'accepted' when its attempt began.

The witness held a position that only the lost disk held. It now hears of committed entries while both full voters answer, a commit then needs two full copies, and a voter that did not answer the vote is not waited for.

--- a/Source/consensus/election.cpp
+++ b/Source/consensus/election.cpp
@@ -52,7 +52,7 @@
             Progress progress;
             progress.incarnation = member->incarnation;
             progress.next = lastIndex(node.log) + 1;
-            progress.repliedAtMs = nowMs;
+            progress.repliedAtMs = node.votes.count(member->host) > 0 ? nowMs : 0;
             node.progress[member->host] = progress;
         }
     }
--- a/Source/consensus/replication.cpp
+++ b/Source/consensus/replication.cpp
@@ -95,6 +95,19 @@
     }
 }
 
+/** @return the highest index that two voters hold in full; a witness holds no entries. */
+std::uint64_t secondFullCopy(const Node &node)
+{
+    std::vector<std::uint64_t> matches{0, 0};
+    for (const auto &member : node.membership.members) {
+        if (member->role == wire::MemberRole::Voter) {
+            matches.push_back(matchOf(node, *member));
+        }
+    }
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    return matches[1];
+}
+
 bool otherFullVoterAnswers(const Node &node, std::uint64_t nowMs)
 {
     return std::any_of(node.membership.members.begin(), node.membership.members.end(), [&](const auto &member) {
@@ -230,8 +243,9 @@
     request.lastIndex = lastIndex(node.log);
     request.lastTerm = lastTerm(node.log);
     if (witness) {
-        // A position that the own disk does not hold yet could outlive the entries and lock everybody out.
-        request.lastIndex = ownMatch(node);
+        // A position that no surviving disk holds would lock everybody out. So the witness hears of committed entries,
+        // and of entries that only the own disk holds while no other voter can hold them.
+        request.lastIndex = otherFullVoterAnswers(node, nowMs) ? std::min(ownMatch(node), node.commit) : ownMatch(node);
         request.lastTerm = termAt(node.log, request.lastIndex);
         request.membership = std::make_unique<wire::MembershipT>(node.membership);
     } else {
@@ -321,6 +335,10 @@
     if (hasDurableVoter(node.membership)) {
         reached = std::min(reached, durableMatch(node));
     }
+    if (otherFullVoterAnswers(node, nowMs)) {
+        // While a second host can hold the entries, a witness's position is no substitute: the loss of one disk must lose nothing.
+        reached = std::min(reached, secondFullCopy(node));
+    }
     if (reached > node.commit && termAt(node.log, reached) == node.term) {
         node.commit = reached;
         applyCommitted(node, output);
--- a/Source/control/cell.h
+++ b/Source/control/cell.h
@@ -109,7 +109,6 @@
     bool confirmed = false; ///< The worker said that it holds the attempt.
     policy::WorkerIndex worker = 0;
     std::uint64_t leaseUntilMs = 0; ///< After this it certainly does not run.
-    std::uint64_t startHeardMs = 0; ///< When the announcement that the start refers to was heard.
     std::uint64_t expectedFrom = 0; ///< First announcement that must list it, once confirmed.
     std::uint64_t seenIn = 0; ///< Latest announcement that listed it.
     std::uint64_t dispatchedMs = 0;
@@ -126,7 +125,6 @@
     bool heard = false; ///< Announced itself to this leader.
     std::uint64_t announcement = 0; ///< Latest number.
     std::uint64_t heardMs = 0;
-    std::uint64_t previousHeardMs = 0;
     std::set<model::TaskId> tasks; ///< Tasks counted on it.
 };
 
--- a/Source/control/cellleader.cpp
+++ b/Source/control/cellleader.cpp
@@ -25,7 +25,6 @@
         occupyWorker(cell, task, live, *worker);
     }
     live.leaseUntilMs = now.monotonicMs + inheritedLeaseMs(cell.options);
-    live.startHeardMs = now.monotonicMs;
     live.dispatchedMs = now.monotonicMs;
     live.countedAttempts = task.attempt;
     if (task.cancelled) {
@@ -60,7 +59,6 @@
     live.confirmed = false;
     live.seenIn = 0;
     live.dispatchedMs = now.monotonicMs;
-    live.startHeardMs = worker.heardMs;
     // Counted from the announcement, since the worker takes no start that refers to an older one than its window.
     live.leaseUntilMs = worker.heardMs + inheritedLeaseMs(cell.options);
     StartOrder order;
--- a/Source/control/cellworkers.cpp
+++ b/Source/control/cellworkers.cpp
@@ -109,7 +109,7 @@
 }
 
 /** Decides about the tasks that the worker should hold and did not mention. */
-void takeMissing(Cell &cell, policy::WorkerIndex index, const wire::AnnouncementT &announcement, const Now &now, CellOutput &output)
+void takeMissing(Cell &cell, policy::WorkerIndex index, const wire::AnnouncementT &announcement, const Now &now, wire::ReplyT &reply, CellOutput &output)
 {
     const LiveWorker &worker = cell.leader.workers[index];
     const std::vector<model::TaskId> tasks(worker.tasks.begin(), worker.tasks.end());
@@ -128,9 +128,10 @@
             }
             continue;
         }
-        // This announcement was built after the reply to the one before it, so the window on the worker's clock is over.
-        if (worker.previousHeardMs > live.startHeardMs + withDrift(cell, cell.options.startWindowMs)) {
-            attemptEnded(cell, id, AttemptEnd::NeverBegan, model::Reason::StartNeverBegan, {}, now, output);
+        // Not listed does not prove that it never began: it may have begun and lost its lease since. So the worker is
+        // asked to void it, and says by a result whether the attempt can still begin.
+        if (now.monotonicMs > live.dispatchedMs + cell.options.startWindowMs / 2) {
+            reply.actions.push_back(std::make_unique<wire::RunningTaskT>(mention(task, wire::TaskAction::Void)));
         }
     }
 }
@@ -152,12 +153,11 @@
         return;
     }
     worker.announcement = announcement.number;
-    worker.previousHeardMs = worker.heard ? worker.heardMs : 0;
     worker.heardMs = now.monotonicMs;
     worker.heard = true;
     ++cell.metrics.announcements;
     takeRunning(cell, announcement, now, answer);
-    takeMissing(cell, *index, announcement, now, output);
+    takeMissing(cell, *index, announcement, now, answer, output);
     reply(output, token, std::move(answer));
     cell.leader.nextEligibilityMs = now.monotonicMs;
 }
@@ -203,7 +203,7 @@
     const bool ran = !result.refused;
     policy::noteEnd(cell.leader.quarantine, worker, task.spec.service, ran && !result.failed, cell.leader.pool.workers.size(), now.monotonicMs);
     if (result.refused) {
-        attemptEnded(cell, task.id, AttemptEnd::NeverBegan, model::Reason::StartRefused, {}, now, output);
+        attemptEnded(cell, task.id, AttemptEnd::NeverBegan, model::Reason::StartNeverBegan, {}, now, output);
     } else if (result.failed) {
         attemptEnded(cell, task.id, AttemptEnd::Failed, model::Reason::TaskFailed, result.answer, now, output);
     } else {
--- a/Source/transport/requestjson.cpp
+++ b/Source/transport/requestjson.cpp
@@ -165,7 +165,7 @@
 
 Json mentionsJson(const std::vector<std::unique_ptr<wire::RunningTaskT>> &mentions, bool withAction)
 {
-    constexpr std::array actions{"continue", "throttle", "checkpoint", "stop"};
+    constexpr std::array actions{"continue", "throttle", "checkpoint", "stop", "void"};
     Json list = Json::array();
     for (const auto &mention : mentions) {
         Json item{{"task", mention->task}, {"attempt", mention->attempt}};
--- a/Tests/fakes/bench.cpp
+++ b/Tests/fakes/bench.cpp
@@ -151,7 +151,7 @@
         return;
     }
     std::uniform_int_distribution<std::uint64_t> delay(faults.leastDelayMs, faults.mostDelayMs);
-    const std::size_t copies = between && hundred(m_random) < faults.doublePercent ? 2 : 1;
+    const std::size_t copies = isHost(hosts, from) && hundred(m_random) < faults.doublePercent ? 2 : 1;
     const std::uint64_t life = isHost(hosts, to) ? hosts.at(to).life : 0;
     for (std::size_t copy = 0; copy < copies; ++copy) {
         const std::uint64_t dueMs = m_nowMs + delay(m_random);
--- a/Tests/fakes/benchworker.cpp
+++ b/Tests/fakes/benchworker.cpp
@@ -32,12 +32,18 @@
 {
     const auto sent = m_sentMs.find(order.announcement);
     const bool fresh = sent != m_sentMs.end() && nowMs <= sent->second + order.windowMs;
-    const bool current = order.incarnation == m_shape.incarnation && order.term >= m_term && order.attempt > m_lastAttempt[order.task];
+    const bool current = order.incarnation == m_shape.incarnation && order.term >= m_term;
+    std::uint32_t &last = m_lastAttempt[order.task];
+    if (order.attempt <= last && !m_defects.fencingOff) {
+        return m_begun[order.task] == order.attempt; // The same start again; "not accepted" would say that it never began.
+    }
     if (!m_defects.fencingOff && (!fresh || !current)) {
+        last = std::max(last, order.attempt);
         return false;
     }
     m_term = std::max(m_term, order.term);
-    m_lastAttempt[order.task] = order.attempt;
+    last = order.attempt;
+    m_begun[order.task] = order.attempt;
     BenchRun run;
     run.key = order.spec.key;
     run.task = order.task;
@@ -94,6 +100,11 @@
         }
     }
     for (const auto &action : reply.actions) {
+        std::uint32_t &last = m_lastAttempt[action->task];
+        if (action->action == wire::TaskAction::Void && action->attempt > last) {
+            last = action->attempt;
+            m_voided[action->task] = action->attempt;
+        }
         const auto run = m_runs.find(action->task);
         if (run != m_runs.end() && run->second.attempt == action->attempt && action->action == wire::TaskAction::Stop) {
             m_runs.erase(run);
@@ -119,12 +130,23 @@
         result->checksum = model::checksum(result->answer);
         request.results.push_back(std::move(result));
     }
+    for (const auto &[id, attempt] : m_voided) {
+        auto result = std::make_unique<wire::TaskResultT>();
+        result->task = id;
+        result->attempt = attempt;
+        result->refused = true;
+        result->checksum = model::checksum({});
+        request.results.push_back(std::move(result));
+    }
     return request;
 }
 
 void BenchWorker::takeResultsReply(const wire::ReplyT &reply)
 {
     for (const auto &acknowledged : reply.renewed) {
+        std::erase_if(m_voided, [&acknowledged](const auto &entry) {
+            return entry.first == acknowledged->task && entry.second == acknowledged->attempt;
+        });
         const auto run = m_runs.find(acknowledged->task);
         if (reply.error == 0 && run != m_runs.end() && run->second.attempt == acknowledged->attempt && run->second.ended) {
             m_runs.erase(run);
@@ -149,6 +171,8 @@
 {
     m_runs.clear();
     m_lastAttempt.clear();
+    m_voided.clear();
+    m_begun.clear();
     m_sentMs.clear();
     m_number = 0;
     m_term = 0;
--- a/Tests/fakes/benchworker.h
+++ b/Tests/fakes/benchworker.h
@@ -74,7 +74,9 @@
     std::map<std::uint64_t, std::uint64_t> m_sentMs;
     std::uint64_t m_term = 0;
     std::map<model::TaskId, BenchRun> m_runs;
-    std::map<model::TaskId, std::uint32_t> m_lastAttempt;
+    std::map<model::TaskId, std::uint32_t> m_lastAttempt; ///< Begun or void; nothing up to it begins any more.
+    std::map<model::TaskId, std::uint32_t> m_begun; ///< Latest attempt that began.
+    std::map<model::TaskId, std::uint32_t> m_voided; ///< Attempts that are void and not acknowledged yet.
 };
 
 /** @param spec a task. @return the one right answer to it. */
--- a/Tests/fakes/fakeworker.cpp
+++ b/Tests/fakes/fakeworker.cpp
@@ -138,13 +138,18 @@
     const std::uint64_t term = start["term"];
     const auto sent = m_sentMs.find(start["announcement"].get<std::uint64_t>());
     const std::uint64_t nowMs = steadyMs();
-    const bool current = start["incarnation"] == m_incarnation && term >= m_term && attempt > m_lastAttempt[id];
+    const bool current = start["incarnation"] == m_incarnation && term >= m_term;
+    std::uint32_t &last = m_lastAttempt[id];
+    if (attempt <= last) {
+        return m_begun[id] == attempt; // The same start again; "not accepted" would say that it never began.
+    }
+    last = attempt;
     const bool fresh = sent != m_sentMs.end() && nowMs <= sent->second + start["windowMs"].get<std::uint64_t>();
     if (!current || !fresh) {
         return false;
     }
     m_term = term;
-    m_lastAttempt[id] = attempt;
+    m_begun[id] = attempt;
     Task task;
     task.run = {start["key"], id, attempt, start["idempotent"], wallMs(), 0};
     task.leaseUntilMs = nowMs + start["leaseMs"].get<std::uint64_t>() / (m_options.endLeaseEarly ? 2 : 1);
@@ -235,6 +240,11 @@
         }
     }
     for (const Json &action : json["actions"]) {
+        std::uint32_t &last = m_lastAttempt[action["task"]];
+        if (action["action"] == "void" && action["attempt"] > last) {
+            last = action["attempt"];
+            m_voided[action["task"]] = last;
+        }
         const auto task = m_tasks.find(action["task"]);
         if (task != m_tasks.end() && task->second.run.attempt == action["attempt"] && action["action"] == "stop") {
             finishRun(task->second);
@@ -304,6 +314,9 @@
                 ++task.handIns;
             }
         }
+        for (const auto &[id, attempt] : m_voided) {
+            results.push_back({{"task", id}, {"attempt", attempt}, {"refused", true}, {"length", 0}, {"checksum", std::to_string(model::checksum({}))}});
+        }
     }
     if (results.empty()) {
         return;
@@ -318,6 +331,9 @@
     }
     const std::lock_guard lock(m_mutex);
     for (const Json &acknowledged : json["acknowledged"]) {
+        std::erase_if(m_voided, [&acknowledged](const auto &entry) {
+            return entry.first == acknowledged["task"] && entry.second == acknowledged["attempt"];
+        });
         const auto task = m_tasks.find(acknowledged["task"]);
         if (task != m_tasks.end() && task->second.run.attempt == acknowledged["attempt"] && task->second.ended) {
             m_tasks.erase(task);
--- a/Tests/fakes/fakeworker.h
+++ b/Tests/fakes/fakeworker.h
@@ -104,7 +104,9 @@
     std::map<std::uint64_t, std::uint64_t> m_sentMs; ///< Sending times of announcements.
     std::uint64_t m_term = 0;
     std::map<std::uint64_t, Task> m_tasks;
-    std::map<std::uint64_t, std::uint32_t> m_lastAttempt;
+    std::map<std::uint64_t, std::uint32_t> m_lastAttempt; ///< Begun or void; nothing up to it begins any more.
+    std::map<std::uint64_t, std::uint32_t> m_begun; ///< Latest attempt that began.
+    std::map<std::uint64_t, std::uint32_t> m_voided; ///< Attempts that are void and not acknowledged yet.
     std::vector<RunRecord> m_finished;
     std::atomic<bool> m_leaving{false};
     std::atomic<bool> m_stopping{false};
