control: Let a gang return to workers that failed it

Ruled out: the back-off and the order of its members' requeue records; the trace shows all members queued and the placement failing.

Change: both forget failures by one function and ask for another pass.

--- a/Source/control/cell.h
+++ b/Source/control/cell.h
@@ -188,6 +188,7 @@
     std::map<std::string, std::map<std::uint64_t, model::TaskId>> instances; ///< Long-running tasks by service and instance.
     std::set<std::string> pendingInstances; ///< Keys of instances that are proposed.
     bool scheduleNeeded = false;
+    bool retryPlacement = false; ///< The next pass has more workers to choose from.
     std::uint64_t nextReconcileMs = 0;
     std::uint64_t nextRetentionMs = 0;
     std::uint64_t nextEligibilityMs = 0;
--- a/Source/control/cellscheduling.cpp
+++ b/Source/control/cellscheduling.cpp
@@ -134,6 +134,15 @@
     return {};
 }
 
+/** Lets a task go to workers that failed it, when no other holds it; one of those is better than none. */
+void forgetFailures(Cell &cell, LiveTask &live)
+{
+    if (!live.avoid.empty()) {
+        live.avoid.clear();
+        cell.leader.retryPlacement = true;
+    }
+}
+
 bool placeGang(Cell &cell, const policy::NextTask &next, const model::Task &first, const Now &now, Pass &pass)
 {
     const auto members = openMembers(cell, first.spec.key);
@@ -146,9 +155,10 @@
     if (!policy::withinQuota(cell.leader.queue, first.spec.team, all)) {
         return false;
     }
-    const LiveTask &live = cell.leader.live.at(first.id);
+    LiveTask &live = cell.leader.live.at(first.id);
     const auto chosen = policy::chooseAll(cell.leader.pool, needs, queryFor(cell, first, live, now));
     if (chosen.empty()) {
+        forgetFailures(cell, live);
         const bool patient = now.monotonicMs < live.acceptedMs + cell.options.gangPatienceMs;
         if (!patient && cell.leader.reservations.empty()) {
             auto workers = workersForGang(cell, needs);
@@ -256,9 +266,7 @@
         if (task.spec.urgent) {
             preempt(cell, task, live.need, now);
         }
-        if (query.avoid != nullptr) {
-            live.avoid.clear(); // A worker that failed it once is better than none.
-        }
+        forgetFailures(cell, live);
         return false;
     }
     policy::take(cell.leader.queue, next, true);
@@ -290,7 +298,8 @@
             policy::block(cell.leader.queue, next);
         }
     }
-    cell.leader.scheduleNeeded = pass.record.placements.size() >= maxPlacementsPerPass;
+    cell.leader.scheduleNeeded = pass.record.placements.size() >= maxPlacementsPerPass || cell.leader.retryPlacement;
+    cell.leader.retryPlacement = false;
     policy::noteStarts(cell.leader.rate, now.monotonicMs, pass.record.placements.size());
     if (!pass.record.placements.empty()) {
         pass.record.atMs = now.wallMs;
--- a/Tests/control/faulttable.cpp
+++ b/Tests/control/faulttable.cpp
@@ -253,7 +253,7 @@
     violations = bench.invariants.violations();
 }
 
-constexpr std::uint64_t seedsPerRow = 40;
+constexpr std::uint64_t seedsPerRow = 200;
 
 void checkRow(const FaultRow &row)
 {
