--- a/Source/model/reason.cpp
+++ b/Source/model/reason.cpp
@@ -58,7 +58,8 @@
     ReasonInfo{Reason::WorkerLostTask, "worker-lost-task", 200, Later, "the worker ended the task without a result"},
     ReasonInfo{Reason::TaskFailed, "task-failed", 200, Later, "the task ran and reported a failure"},
     ReasonInfo{Reason::AttemptsExhausted, "attempts-exhausted", 200, Later, "the task failed on each attempt it was given"},
-    ReasonInfo{Reason::RetryBudgetSpent, "retry-budget-spent", 200, Later, "the retry budget of the service is spent; its failed tasks wait the longest back-off"},
+    ReasonInfo{
+        Reason::RetryBudgetSpent, "retry-budget-spent", 200, Later, "the retry budget of the service is spent; its failed tasks wait the longest back-off"},
     ReasonInfo{Reason::AnswerCorrupt, "answer-corrupt", 422, Later, "the answer differs from its stated length or checksum; send it again"},
     ReasonInfo{Reason::AnswerFenced, "answer-fenced", 409, Never, "the answer belongs to an attempt that was given up"},
     ReasonInfo{Reason::AnswerExpired, "answer-expired", 410, Never, "the task ended and its answer is no longer kept"},
--- a/Source/storage/identity.cpp
+++ b/Source/storage/identity.cpp
@@ -12,6 +12,12 @@
 namespace
 {
 constexpr const char *identityFile = "identity.json";
+
+bool isIdentity(const nlohmann::json &json)
+{
+    const bool complete = json.is_object() && json.contains("cluster") && json.contains("host") && json.contains("incarnation");
+    return complete && json["cluster"].is_string() && json["host"].is_string() && json["incarnation"].is_number_unsigned() && json["incarnation"] != 0;
+}
 }
 
 std::uint64_t newIncarnation()
@@ -29,18 +35,11 @@
     }
     const auto bytes = readFile(folder / identityFile, error);
     const auto json = nlohmann::json::parse(bytes, nullptr, false);
-    if (error || !json.is_object()) {
+    if (error || !isIdentity(json)) {
         error = StorageError::IdentityInvalid;
         return {};
     }
-    Identity identity;
-    identity.cluster = json.value("cluster", "");
-    identity.host = json.value("host", "");
-    identity.incarnation = json.value("incarnation", std::uint64_t{0});
-    if (identity.host.empty() || identity.incarnation == 0) {
-        error = StorageError::IdentityInvalid;
-    }
-    return identity;
+    return {json["cluster"], json["host"], json["incarnation"]};
 }
 
 std::error_code writeIdentity(const std::filesystem::path &folder, const Identity &identity)
--- /dev/null
+++ b/Tests/consensus/node.cpp
@@ -0,0 +1,315 @@
+#include "consensus/node.h"
+#include "testing.h"
+
+#include <deque>
+#include <map>
+
+namespace
+{
+using namespace rosemaryturn;
+using consensus::Node;
+
+wire::MembershipT membersOf(std::initializer_list<std::pair<const char *, wire::MemberRole>> list)
+{
+    wire::MembershipT membership;
+    for (const auto &[host, role] : list) {
+        auto member = std::make_unique<wire::MemberT>();
+        member->host = host;
+        member->incarnation = 1;
+        member->role = role;
+        member->durable = true;
+        membership.members.push_back(std::move(member));
+    }
+    return membership;
+}
+
+/** Nodes whose messages are delivered at once and whose disks sync at once, unless told otherwise. */
+struct Group
+{
+    explicit Group(const wire::MembershipT &membership)
+    {
+        for (const auto &member : membership.members) {
+            Node &node = nodes[member->host];
+            node.group = "g";
+            node.self = member->host;
+            node.incarnation = 1;
+            node.witness = member->role == wire::MemberRole::Witness;
+            node.random.seed(nodes.size());
+            consensus::initialise(node, membership, nowMs);
+        }
+    }
+
+    void take(const std::string &host, consensus::Output output)
+    {
+        journals[host].insert(journals[host].end(), output.persist.begin(), output.persist.end());
+        for (auto *list : {&output.now, &output.afterSync}) {
+            for (const auto &message : *list) {
+                queue.push_back(message);
+            }
+        }
+        for (const auto &entry : output.committed) {
+            applied[host].push_back(entry->payload);
+        }
+        Node &node = nodes.at(host);
+        if (!output.persist.empty() && !node.witness) {
+            consensus::Output synced;
+            consensus::persisted(node, consensus::lastIndex(node.log), consensus::lastTerm(node.log), nowMs, synced);
+            take(host, std::move(synced));
+        }
+    }
+
+    void deliver()
+    {
+        while (!queue.empty()) {
+            const wire::ConsensusMessageT message = queue.front();
+            queue.pop_front();
+            const bool up = nodes.count(message.to) > 0 && down.count(message.to) == 0 && down.count(message.from) == 0;
+            if (up) {
+                consensus::Output output;
+                consensus::receive(nodes.at(message.to), message, nowMs, output);
+                take(message.to, std::move(output));
+            }
+        }
+    }
+
+    void advance(std::uint64_t milliseconds)
+    {
+        constexpr std::uint64_t tickMs = 10;
+        for (const std::uint64_t end = nowMs + milliseconds; nowMs < end;) {
+            nowMs += tickMs;
+            for (auto &[host, node] : nodes) {
+                if (down.count(host) == 0) {
+                    consensus::Output output;
+                    consensus::tick(node, nowMs, output);
+                    take(host, std::move(output));
+                }
+            }
+            deliver();
+        }
+    }
+
+    Node *leader()
+    {
+        for (auto &[host, node] : nodes) {
+            if (down.count(host) == 0 && consensus::leads(node)) {
+                return &node;
+            }
+        }
+        return nullptr;
+    }
+
+    bool propose(std::uint8_t value)
+    {
+        Node *node = leader();
+        if (node == nullptr) {
+            return false;
+        }
+        consensus::Output output;
+        const bool taken = consensus::propose(*node, {{value}}, nowMs, output) != 0;
+        take(node->self, std::move(output));
+        deliver();
+        return taken;
+    }
+
+    std::uint64_t nowMs = 0;
+    std::map<std::string, Node> nodes;
+    std::map<std::string, std::vector<wire::JournalRecordT>> journals;
+    std::map<std::string, std::vector<wire::Bytes>> applied;
+    std::map<std::string, bool> down;
+    std::deque<wire::ConsensusMessageT> queue;
+};
+
+wire::MembershipT cell()
+{
+    return membersOf({{"a", wire::MemberRole::Voter}, {"b", wire::MemberRole::Voter}, {"w", wire::MemberRole::Witness}});
+}
+}
+
+TEST_CASE(Consensus, ElectsOneLeaderAndCommits)
+{
+    Group group(cell());
+    group.advance(3000);
+    CHECK(group.leader() != nullptr);
+    CHECK(group.propose(1));
+    group.advance(500);
+    CHECK_EQUAL(std::size_t{1}, group.applied["a"].size());
+    CHECK_EQUAL(std::size_t{1}, group.applied["b"].size());
+}
+
+TEST_CASE(Consensus, WitnessNeverStandsAndHoldsNoEntries)
+{
+    Group group(cell());
+    group.down["a"] = true;
+    group.down["b"] = true;
+    group.advance(10000);
+    CHECK(group.leader() == nullptr);
+    CHECK(group.nodes.at("w").role == consensus::Role::Follower);
+    CHECK(group.nodes.at("w").log.entries.empty());
+}
+
+TEST_CASE(Consensus, SurvivorAndWitnessGoOn)
+{
+    Group group(cell());
+    group.advance(3000);
+    CHECK(group.propose(1));
+    const std::string lost = group.leader()->self;
+    group.down[lost] = true;
+    group.advance(4000);
+    CHECK(group.leader() != nullptr);
+    CHECK(group.leader()->self != lost);
+    CHECK(group.propose(2));
+    group.advance(1000);
+    CHECK_EQUAL(std::size_t{2}, group.applied[group.leader()->self].size());
+}
+
+TEST_CASE(Consensus, WitnessRefusesAVoterThatMissedCommittedEntries)
+{
+    Group group(cell());
+    group.advance(3000);
+    const std::string first = group.leader()->self;
+    const std::string other = first == "a" ? "b" : "a";
+    group.down[other] = true;
+    group.advance(1000);
+    CHECK(group.propose(7));
+    group.advance(1000);
+    CHECK_EQUAL(std::size_t{1}, group.applied[first].size());
+    group.down[first] = true;
+    group.down.erase(other);
+    group.advance(10000);
+    CHECK(group.leader() == nullptr);
+    group.down.erase(first);
+    group.advance(5000);
+    CHECK(group.leader() != nullptr);
+    CHECK_EQUAL(std::size_t{1}, group.applied[other].size());
+}
+
+TEST_CASE(Consensus, LeaseEndsBeforeAnotherIsElected)
+{
+    Group group(cell());
+    group.advance(3000);
+    Node &old = *group.leader();
+    group.down[old.self] = true;
+    bool both = false;
+    for (int i = 0; i < 400; ++i) {
+        group.advance(10);
+        both = both || (consensus::holdsLease(old, group.nowMs) && group.leader() != nullptr);
+    }
+    CHECK(!both);
+    CHECK(group.leader() != nullptr);
+}
+
+TEST_CASE(Consensus, RestartKeepsTermVoteAndLog)
+{
+    Group group(cell());
+    group.advance(3000);
+    CHECK(group.propose(1));
+    CHECK(group.propose(2));
+    for (const char *host : {"a", "b", "w"}) {
+        const Node &before = group.nodes.at(host);
+        Node after;
+        after.group = "g";
+        after.self = host;
+        after.incarnation = 1;
+        after.witness = before.witness;
+        consensus::initialise(after, cell(), group.nowMs);
+        for (const auto &record : group.journals[host]) {
+            consensus::restore(after, record);
+        }
+        consensus::finishRestore(after, group.nowMs);
+        CHECK_EQUAL(before.term, after.term);
+        CHECK_EQUAL(before.votedFor, after.votedFor);
+        CHECK_EQUAL(consensus::lastIndex(before.log), consensus::lastIndex(after.log));
+        CHECK_EQUAL(before.witnessIndex, after.witnessIndex);
+    }
+}
+
+TEST_CASE(Consensus, MemberThatLostItsDiskDoesNotVote)
+{
+    Group group(cell());
+    Node fresh;
+    fresh.group = "g";
+    fresh.self = "b";
+    fresh.incarnation = 99;
+    consensus::initialise(fresh, cell(), 0);
+    wire::VoteRequestT request;
+    request.lastIndex = 5;
+    request.lastTerm = 5;
+    wire::ConsensusMessageT message;
+    message.group = "g";
+    message.from = "a";
+    message.fromIncarnation = 1;
+    message.to = "b";
+    message.term = 6;
+    message.body.Set(request);
+    consensus::Output output;
+    consensus::receive(fresh, message, 60000, output);
+    CHECK_EQUAL(std::size_t{1}, output.afterSync.size());
+    CHECK(!output.afterSync[0].body.AsVoteReply()->granted);
+}
+
+TEST_CASE(Consensus, SnapshotBringsALateMemberUp)
+{
+    Group group(cell());
+    group.advance(3000);
+    const std::string leader = group.leader()->self;
+    const std::string other = leader == "a" ? "b" : "a";
+    group.down[other] = true;
+    group.advance(1000);
+    for (std::uint8_t value = 0; value < 50; ++value) {
+        CHECK(group.propose(value));
+    }
+    group.advance(500);
+    consensus::Output output;
+    consensus::compact(*group.leader(), {42}, output);
+    CHECK(output.replaceJournal);
+    CHECK(group.leader()->log.entries.empty());
+    group.down.erase(other);
+    group.advance(2000);
+    CHECK_EQUAL(consensus::lastIndex(group.nodes.at(leader).log), consensus::lastIndex(group.nodes.at(other).log));
+    CHECK((group.nodes.at(other).log.snapshotImage == wire::Bytes{42}));
+}
+
+TEST_CASE(Consensus, MembershipChangesOneVoterAtATime)
+{
+    wire::MembershipT before = cell();
+    wire::MembershipT one = cell();
+    one.members[1]->incarnation = 5;
+    one.members[1]->role = wire::MemberRole::Learner;
+    CHECK(consensus::isSingleStep(before, one));
+    wire::MembershipT replaced = cell();
+    replaced.members[1]->incarnation = 5;
+    CHECK(!consensus::isSingleStep(before, replaced));
+    wire::MembershipT two = cell();
+    two.members[0]->role = wire::MemberRole::Learner;
+    two.members[1]->role = wire::MemberRole::Learner;
+    CHECK(!consensus::isSingleStep(before, two));
+}
+
+TEST_CASE(Consensus, AcceptNeedsADurableCopy)
+{
+    wire::MembershipT membership = cell();
+    membership.members[0]->durable = false;
+    Group group(membership);
+    group.nodes.at("a").durable = false;
+    group.down["b"] = true;
+    group.advance(6000);
+    // Only the host without a disk and the witness are there: it may be elected, and commits nothing.
+    const Node &node = group.nodes.at("a");
+    CHECK_EQUAL(std::uint64_t{0}, node.commit);
+}
+
+TEST_CASE(Consensus, FollowerDropsEntriesThatWereNeverCommitted)
+{
+    Group group(membersOf({{"a", wire::MemberRole::Voter}, {"b", wire::MemberRole::Voter}, {"c", wire::MemberRole::Voter}}));
+    group.advance(3000);
+    const std::string old = group.leader()->self;
+    consensus::Output lost;
+    consensus::propose(group.nodes.at(old), {{1}, {2}, {3}}, group.nowMs, lost);
+    group.down[old] = true;
+    group.advance(5000);
+    CHECK(group.propose(9));
+    group.down.erase(old);
+    group.advance(3000);
+    CHECK_EQUAL(std::size_t{1}, group.applied[old].size());
+    CHECK((group.applied[old][0] == wire::Bytes{9}));
+}
--- a/Tests/control/faulttable.cpp
+++ b/Tests/control/faulttable.cpp
@@ -10,7 +10,8 @@
 using fakes::Bench;
 
 /** One fault: what is done to a settled system, and what is undone before it settles again. */
-struct FaultRow {
+struct FaultRow
+{
     const char *name;
     void (*bringAbout)(Bench &bench);
     std::uint64_t lastsMs;
@@ -192,7 +193,17 @@
     }
 }
 
-constexpr void (*anyFault[])(Bench &) = {crashLeader, crashStandby, pauseLeader, isolateLeader, cutLeaderOneWay, cutToLeaderOneWay, isolateHome, loseMessages, loseDiskOfStandby, pauseWorker, restartWorkers};
+constexpr void (*anyFault[])(Bench &) = {crashLeader,
+                                         crashStandby,
+                                         pauseLeader,
+                                         isolateLeader,
+                                         cutLeaderOneWay,
+                                         cutToLeaderOneWay,
+                                         isolateHome,
+                                         loseMessages,
+                                         loseDiskOfStandby,
+                                         pauseWorker,
+                                         restartWorkers};
 
 void anyTwo(Bench &bench)
 {
@@ -247,7 +258,8 @@
         }
         const bool repeatable = request.spec.service != "production/once";
         if (!row.endsWork && repeatable && request.end && request.end->outcome != wire::Outcome::Answered) {
-            bench.invariants.add("repeatable work was given up: " + key + " " + std::string(model::reasonInfo(static_cast<model::Reason>(request.end->reason)).name));
+            bench.invariants.add("repeatable work was given up: " + key + " "
+                                 + std::string(model::reasonInfo(static_cast<model::Reason>(request.end->reason)).name));
         }
     }
     violations = bench.invariants.violations();
@@ -284,7 +296,10 @@
 
 TEST_CASE(FaultTable, NoFault)
 {
-    checkRow({"no fault", [](Bench &) {}, 0});
+    checkRow({"no fault",
+              [](Bench &) {
+              },
+              0});
 }
 
 TEST_CASE(FaultTable, LeaderCrashes)
--- a/Tests/fakes/bench.cpp
+++ b/Tests/fakes/bench.cpp
@@ -21,7 +21,8 @@
                 + R"(","address":"127.0.0.1","peerPort":1,"httpPort":1})";
         }
     }
-    const std::string text = R"({"cluster":"bench","host":")" + self + R"(","dataFolder":"unused","hosts":[)" + hosts + R"(],"limits":{"snapshotEveryEntries":200}})";
+    const std::string text
+        = R"({"cluster":"bench","host":")" + self + R"(","dataFolder":"unused","hosts":[)" + hosts + R"(],"limits":{"snapshotEveryEntries":200}})";
     std::vector<config::FieldError> errors;
     return *config::parseSettings(text, errors);
 }
@@ -37,8 +38,8 @@
     const std::string common = R"(","team":"t","home":")" + home + R"(","cpuMillis":1000,"memoryMb":100)";
     return R"({"teams":[{"name":"t"}],"services":[)"
            R"({"name":"idem)"
-        + common + R"(,"kind":"batch","attempts":50,"retryPercent":100},{"name":"once)" + common + R"(,"kind":"batch","idempotent":false},{"name":"gang)" + common
-        + R"(,"kind":"gang","attempts":50,"retryPercent":100}]})";
+        + common + R"(,"kind":"batch","attempts":50,"retryPercent":100},{"name":"once)" + common + R"(,"kind":"batch","idempotent":false},{"name":"gang)"
+        + common + R"(,"kind":"gang","attempts":50,"retryPercent":100}]})";
 }
 
 Bench::Bench(std::uint64_t seed, const PlantedDefects &defects, std::size_t centres, std::size_t workersPerCentre)
@@ -143,7 +144,7 @@
     }
 }
 
-void Bench::post(const std::string &from, const std::string &to, std::function<void()> action)
+void Bench::post(const std::string &from, const std::string &to, const std::function<void()> &action)
 {
     const bool between = isHost(hosts, from) && isHost(hosts, to);
     std::uniform_int_distribution<std::uint64_t> hundred(0, percent - 1);
@@ -218,8 +219,8 @@
             });
         });
     }
-    for (control::TokenReply &reply : output.replies) {
-        deliverReply(id, std::move(reply));
+    for (const control::TokenReply &reply : output.replies) {
+        deliverReply(id, reply);
     }
     emitStarts(id, std::move(output.starts));
 }
@@ -342,7 +343,7 @@
     return "h" + centre + "-" + std::to_string(1 + m_random() % 2);
 }
 
-void Bench::sendFromWorker(BenchWorker &worker, wire::RequestT request, std::function<void(const wire::ReplyT &)> taken)
+void Bench::sendFromWorker(BenchWorker &worker, wire::RequestT request, const std::function<void(const wire::ReplyT &)> &taken)
 {
     const std::string entry = entryOf(worker);
     const std::string name = worker.shape().worker;
@@ -393,7 +394,7 @@
     }
 }
 
-void Bench::deliverReply(const std::string &id, control::TokenReply reply)
+void Bench::deliverReply(const std::string &id, const control::TokenReply &reply)
 {
     const auto found = m_tokens.find({id, reply.token});
     if (found == m_tokens.end()) {
--- a/Tests/fakes/bench.h
+++ b/Tests/fakes/bench.h
@@ -19,7 +19,8 @@
 namespace rosemaryturn::fakes
 {
 /** How the network treats messages. */
-struct NetworkFaults {
+struct NetworkFaults
+{
     std::uint64_t dropPercent = 0;
     std::uint64_t doublePercent = 0;
     std::uint64_t leastDelayMs = 1;
@@ -27,7 +28,8 @@
 };
 
 /** One entry host with its disk. */
-struct BenchHost {
+struct BenchHost
+{
     std::string id;
     std::unique_ptr<control::Host> host; ///< Null while it is down.
     std::uint64_t incarnation = 1;
@@ -40,7 +42,8 @@
 };
 
 /** A caller's request and what it was told last. */
-struct BenchRequest {
+struct BenchRequest
+{
     std::string key;
     wire::TaskSpecT spec;
     bool accepted = false; ///< Some host said that it is stored.
@@ -55,7 +58,8 @@
 class Bench
 {
 public:
-    /** @param seed of all random choices. @param defects planted faults. @param centres data centres of two hosts each. @param workersPerCentre workers in each. */
+    /** @param seed of all random choices. @param defects planted faults. @param centres data centres of two hosts each. @param workersPerCentre workers in
+     * each. */
     explicit Bench(std::uint64_t seed, const PlantedDefects &defects = {}, std::size_t centres = 3, std::size_t workersPerCentre = 3);
 
     /** Advances the clock in small steps and checks the invariants after each. @param milliseconds how far. */
@@ -84,7 +88,8 @@
     void submit(const std::string &host, const wire::TaskSpecT &spec, std::size_t tasks = 1);
     /** Sends any request and keeps its reply. @param host where. @param request the request. @return a place that receives the reply. */
     std::shared_ptr<std::optional<wire::ReplyT>> send(const std::string &host, wire::RequestT request);
-    /** Applies a document and waits until it is in force everywhere. @param text the document. @param expectedRevision the revision before it. @return whether it was. */
+    /** Applies a document and waits until it is in force everywhere. @param text the document. @param expectedRevision the revision before it. @return whether
+     * it was. */
     bool applyDocument(const std::string &text, std::uint64_t expectedRevision);
 
     /** @param centre number from 1. @param host number from 1. @return the host's id. */
@@ -109,20 +114,22 @@
     std::uint64_t callerPatienceMs = 1500; ///< After this a caller asks again by its key, through another host.
 
 private:
-    struct Delivery {
+    struct Delivery
+    {
         std::uint64_t dueMs = 0;
         std::string from;
         std::string to;
         std::uint64_t life = 0;
         std::function<void()> action;
     };
-    struct Asking {
+    struct Asking
+    {
         wire::RequestT request;
         std::uint64_t nextMs = 0;
     };
 
     void step();
-    void post(const std::string &from, const std::string &to, std::function<void()> action);
+    void post(const std::string &from, const std::string &to, const std::function<void()> &action);
     void deliverDue();
     void syncDisks();
     void tickHosts();
@@ -135,13 +142,13 @@
     void emitStarts(const std::string &id, std::vector<control::StartOrder> starts);
     void withHost(const std::string &id, const std::function<void(control::Host &, control::HostOutput &)> &action);
     void start(BenchHost &host);
-    void sync(BenchHost &host, bool acknowledge, std::size_t orders);
-    void deliverReply(const std::string &id, control::TokenReply reply);
+    void sync(BenchHost &host, bool acknowledge, std::size_t count);
+    void deliverReply(const std::string &id, const control::TokenReply &reply);
     void takeCallerReply(const std::string &key, const wire::ReplyT &reply);
     bool connected(const std::string &from, const std::string &to) const;
     BenchWorker &workerNamed(const std::string &name);
     std::string entryOf(const BenchWorker &worker);
-    void sendFromWorker(BenchWorker &worker, wire::RequestT request, std::function<void(const wire::ReplyT &)> taken);
+    void sendFromWorker(BenchWorker &worker, wire::RequestT request, const std::function<void(const wire::ReplyT &)> &taken);
 
     PlantedDefects m_defects;
     std::mt19937_64 m_random;
--- a/Tests/fakes/benchworker.h
+++ b/Tests/fakes/benchworker.h
@@ -12,14 +12,16 @@
 namespace rosemaryturn::fakes
 {
 /** Faults planted into a stand-in, to see that the checker of invariants catches them. */
-struct PlantedDefects {
+struct PlantedDefects
+{
     bool fencingOff = false; ///< Workers take any start and ignore the ends of leases.
     bool syncSkipped = false; ///< Disks acknowledge without storing.
     bool voteForgotten = false; ///< Disks lose terms and votes at a restart.
 };
 
 /** One run, as the worker knows it. */
-struct BenchRun {
+struct BenchRun
+{
     std::string key;
     model::TaskId task = 0;
     std::uint32_t attempt = 0;
--- a/Tests/fakes/invariants.h
+++ b/Tests/fakes/invariants.h
@@ -20,7 +20,8 @@
     void noteBegan(const BenchRun &run);
     /** Takes note of an answer to a caller. @param view the task as the caller saw it. */
     void noteAnswer(const wire::TaskViewT &view);
-    /** Takes note of the revision in force on a host. @param host the host. @param environment the environment. @param revision its number. @param digest of its document. */
+    /** Takes note of the revision in force on a host. @param host the host. @param environment the environment. @param revision its number. @param digest of
+     * its document. */
     void noteRevision(const std::string &host, const std::string &environment, std::uint64_t revision, const std::string &digest);
     /** Takes note of a leader that may act. @param group its group. @param term its term. @param host the host. */
     void noteLeader(const std::string &group, std::uint64_t term, const std::string &host);
--- /dev/null
+++ b/Tests/storage/journal.cpp
@@ -0,0 +1,169 @@
+#include "storage/journal.h"
+#include "storage/identity.h"
+#include "storage/storageerror.h"
+#include "testing.h"
+
+#include <unistd.h>
+
+#include <fstream>
+
+namespace
+{
+using namespace rosemaryturn;
+
+/** A folder that is removed at the end of a case. */
+struct TemporaryFolder
+{
+    TemporaryFolder()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "rosemaryturn-test-XXXXXX").string();
+        path = mkdtemp(pattern.data());
+    }
+    ~TemporaryFolder()
+    {
+        std::filesystem::remove_all(path);
+    }
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder(TemporaryFolder &&) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(TemporaryFolder &&) = delete;
+    std::filesystem::path path;
+};
+
+std::vector<wire::JournalRecordT> batchOf(std::uint64_t term, std::size_t payload)
+{
+    wire::HardStateT state;
+    state.term = term;
+    state.votedFor = std::string(payload, 'x');
+    std::vector<wire::JournalRecordT> records(1);
+    records[0].body.Set(std::move(state));
+    return records;
+}
+
+void writeBytes(const std::filesystem::path &path, const wire::Bytes &bytes)
+{
+    std::ofstream stream(path, std::ios::binary);
+    stream.write(reinterpret_cast<const char *>(bytes.data()), static_cast<std::streamsize>(bytes.size()));
+}
+
+wire::Bytes threeBatches(const std::filesystem::path &path)
+{
+    storage::Journal journal;
+    storage::JournalContent content;
+    CHECK(!journal.open(path, content));
+    for (std::uint64_t term = 1; term <= 3; ++term) {
+        CHECK(!journal.append(batchOf(term, 20)));
+    }
+    std::error_code error;
+    return storage::readFile(path, error);
+}
+}
+
+TEST_CASE(Journal, GivesBackWhatWasAppended)
+{
+    const TemporaryFolder folder;
+    threeBatches(folder.path / "j");
+    storage::Journal journal;
+    storage::JournalContent content;
+    CHECK(!journal.open(folder.path / "j", content));
+    CHECK_EQUAL(std::size_t{3}, content.records.size());
+    CHECK_EQUAL(std::uint64_t{3}, content.records[2].body.AsHardState()->term);
+    CHECK_EQUAL(std::uint64_t{0}, content.tornBytes);
+}
+
+TEST_CASE(Journal, CutsATornTailAtEveryByte)
+{
+    const TemporaryFolder folder;
+    const wire::Bytes whole = threeBatches(folder.path / "j");
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        writeBytes(folder.path / "torn", {whole.begin(), whole.begin() + static_cast<std::ptrdiff_t>(length)});
+        storage::Journal journal;
+        storage::JournalContent content;
+        CHECK(!journal.open(folder.path / "torn", content));
+        CHECK(content.records.size() < 3);
+        CHECK(!journal.append(batchOf(9, 1)));
+        storage::Journal again;
+        storage::JournalContent second;
+        CHECK(!again.open(folder.path / "torn", second));
+        CHECK_EQUAL(content.records.size() + 1, second.records.size());
+    }
+}
+
+TEST_CASE(Journal, RefusesDamageBeforeAGoodBatch)
+{
+    const TemporaryFolder folder;
+    const wire::Bytes whole = threeBatches(folder.path / "j");
+    const std::size_t mark = 8;
+    const std::size_t batch = (whole.size() - mark) / 3;
+    for (std::size_t at = mark; at < mark + 2 * batch; ++at) {
+        wire::Bytes damaged = whole;
+        damaged[at] ^= 0x55;
+        std::error_code error;
+        storage::parseJournal(damaged, error);
+        CHECK(error == storage::StorageError::Corrupt);
+    }
+}
+
+TEST_CASE(Journal, RefusesAnotherFormat)
+{
+    std::error_code error;
+    const wire::Bytes bytes(64, 'z');
+    storage::parseJournal(bytes, error);
+    CHECK(error == storage::StorageError::UnknownFormat);
+}
+
+TEST_CASE(Journal, ReplacesItsContentInOneStep)
+{
+    const TemporaryFolder folder;
+    threeBatches(folder.path / "j");
+    storage::Journal journal;
+    storage::JournalContent content;
+    CHECK(!journal.open(folder.path / "j", content));
+    CHECK(!journal.replace(batchOf(7, 5)));
+    CHECK(!journal.append(batchOf(8, 5)));
+    storage::Journal again;
+    storage::JournalContent after;
+    CHECK(!again.open(folder.path / "j", after));
+    CHECK_EQUAL(std::size_t{2}, after.records.size());
+    CHECK_EQUAL(std::uint64_t{7}, after.records[0].body.AsHardState()->term);
+}
+
+TEST_CASE(Journal, LeftoverOfAnInterruptedReplaceChangesNothing)
+{
+    const TemporaryFolder folder;
+    threeBatches(folder.path / "j");
+    writeBytes(folder.path / "j.new", {1, 2, 3});
+    storage::Journal journal;
+    storage::JournalContent content;
+    CHECK(!journal.open(folder.path / "j", content));
+    CHECK_EQUAL(std::size_t{3}, content.records.size());
+}
+
+TEST_CASE(Identity, IsWrittenOnceAndReadBack)
+{
+    const TemporaryFolder folder;
+    std::error_code error;
+    storage::readIdentity(folder.path, error);
+    CHECK(error == storage::StorageError::NotADataFolder);
+    CHECK(!storage::writeIdentity(folder.path, {"c", "h", 42}));
+    CHECK(storage::writeIdentity(folder.path, {"c", "h", 43}) == storage::StorageError::AlreadyInitialised);
+    error.clear();
+    CHECK_EQUAL(std::uint64_t{42}, storage::readIdentity(folder.path, error).incarnation);
+    CHECK(!error);
+}
+
+TEST_CASE(Identity, RefusesADamagedFile)
+{
+    struct Row
+    {
+        const char *text;
+    };
+    for (const Row &row :
+         {Row{""}, Row{"{"}, Row{"[]"}, Row{R"({"cluster":1,"host":"h","incarnation":1})"}, Row{R"({"cluster":"c","host":"h","incarnation":"x"})"}}) {
+        const TemporaryFolder folder;
+        writeBytes(folder.path / "identity.json", {row.text, row.text + std::string_view(row.text).size()});
+        std::error_code error;
+        storage::readIdentity(folder.path, error);
+        CHECK(error == storage::StorageError::IdentityInvalid);
+    }
+}
--- a/Tests/testing.h
+++ b/Tests/testing.h
@@ -10,7 +10,8 @@
 namespace rosemaryturn::testing
 {
 /** One registered case. */
-struct Registered {
+struct Registered
+{
     std::string name;
     void (*body)();
 };
@@ -19,7 +20,8 @@
 std::vector<Registered> &registry();
 
 /** Adds a case at start-up. */
-struct Registrar {
+struct Registrar
+{
     Registrar(const char *name, void (*body)());
 };
 }
