tests: Cut a leader off together with a worker, and test voters' promises

Change: a row in which the cut-off leader still reaches a worker that nobody else reaches, and contract tests for the promise and for the second copy.

--- a/Tests/consensus/node.cpp
+++ b/Tests/consensus/node.cpp
@@ -198,6 +198,51 @@
     CHECK(group.leader() != nullptr);
 }
 
+TEST_CASE(Consensus, VoterKeepsItsPromiseToALeaderItHeard)
+{
+    struct Row
+    {
+        std::uint64_t sinceHeardMs;
+        bool granted;
+    };
+    for (const Row &row : {Row{0, false}, Row{500, false}, Row{999, false}, Row{1000, true}}) {
+        Group group(cell());
+        group.advance(3000);
+        const std::string leader = group.leader()->self;
+        const std::string other = leader == "a" ? "b" : "a";
+        Node &voter = group.nodes.at("w");
+        voter.leaderHeardMs = group.nowMs;
+        wire::VoteRequestT request;
+        request.lastIndex = 100;
+        request.lastTerm = 100;
+        wire::ConsensusMessageT message;
+        message.group = "g";
+        message.from = other;
+        message.fromIncarnation = 1;
+        message.to = "w";
+        message.term = voter.term + 1;
+        message.body.Set(request);
+        consensus::Output output;
+        consensus::receive(voter, message, group.nowMs + row.sinceHeardMs, output);
+        CHECK_EQUAL(row.granted, output.afterSync.at(0).body.AsVoteReply()->granted);
+    }
+}
+
+TEST_CASE(Consensus, WitnessIsNoSubstituteForASecondCopyWhileThatCanBeHad)
+{
+    Group group(cell());
+    group.advance(3000);
+    Node &leader = *group.leader();
+    const std::string other = leader.self == "a" ? "b" : "a";
+    const std::uint64_t before = leader.commit;
+    group.down[other] = true; // Falls silent this moment; the leader cannot know yet.
+    CHECK(group.propose(1));
+    group.advance(300);
+    CHECK_EQUAL(before, leader.commit);
+    group.advance(1000);
+    CHECK_EQUAL(before + 1, leader.commit);
+}
+
 TEST_CASE(Consensus, RestartKeepsTermVoteAndLog)
 {
     Group group(cell());
--- a/Tests/control/faulttable.cpp
+++ b/Tests/control/faulttable.cpp
@@ -159,6 +159,20 @@
     }
 }
 
+/** The case to get right: the old leader is cut off from all hosts and can still reach a worker that nobody else reaches. */
+void isolateLeaderWithAWorker(Bench &bench)
+{
+    constexpr std::uint64_t longRunMs = 40000;
+    const std::string leader = cellLeader(bench);
+    bench.workers.front().runMs = longRunMs; // The others have room for what it seems to have lost.
+    for (int i = 0; i < 6; ++i) {
+        bench.submit(leader, task("idem", "long" + std::to_string(i)));
+    }
+    bench.run(1500);
+    isolateLeader(bench);
+    bench.workers.front().onlyEntry = leader;
+}
+
 void crashLeaderAndWitness(Bench &bench)
 {
     bench.crash(cellLeader(bench));
@@ -392,6 +406,11 @@
     checkRow({"cancellation wave", cancelEverything, 1000, true});
 }
 
+TEST_CASE(FaultTable, LeaderIsCutOffTogetherWithAWorker)
+{
+    checkRow({"leader cut off with a worker", isolateLeaderWithAWorker, 25000});
+}
+
 TEST_CASE(FaultTable, LeaderAndWitnessCrash)
 {
     checkRow({"leader and witness crash", crashLeaderAndWitness, 6000});
--- a/Tests/fakes/bench.cpp
+++ b/Tests/fakes/bench.cpp
@@ -11,6 +11,7 @@
 constexpr std::uint64_t wallStartMs = 1'700'000'000'000;
 constexpr std::uint64_t percent = 100;
 constexpr std::uint64_t mostSyncMs = 8;
+constexpr std::uint64_t shortRunMs = 200;
 
 config::Settings makeSettings(const std::string &self, std::size_t centres)
 {
@@ -234,7 +235,7 @@
     for (const auto &[worker, orders] : byWorker) {
         post(id, worker, [this, id, name = worker, sent = orders] {
             BenchWorker &target = workerNamed(name);
-            if (target.paused) {
+            if (target.paused || (!target.onlyEntry.empty() && target.onlyEntry != id)) {
                 return; // Its connection goes silent; nobody learns the fate of these starts.
             }
             const auto replies = target.takeStarts(sent, m_nowMs);
@@ -339,6 +340,9 @@
 
 std::string Bench::entryOf(const BenchWorker &worker)
 {
+    if (!worker.onlyEntry.empty()) {
+        return worker.onlyEntry;
+    }
     const std::string centre = worker.shape().worker.substr(1, worker.shape().worker.find('-') - 1);
     return "h" + centre + "-" + std::to_string(1 + m_random() % 2);
 }
@@ -601,6 +605,8 @@
     }
     for (BenchWorker &worker : workers) {
         worker.paused = false;
+        worker.onlyEntry.clear();
+        worker.runMs = shortRunMs;
     }
 }
 
--- a/Tests/fakes/benchworker.h
+++ b/Tests/fakes/benchworker.h
@@ -63,6 +63,7 @@
     bool paused = false;
     bool failing = false; ///< Reports a failure for every task.
     bool leaving = false;
+    std::string onlyEntry; ///< The one host it reaches; empty for any of its data centre.
     std::uint64_t runMs = 200;
     std::uint64_t nextAnnouncementMs = 0;
     std::uint64_t nextResultsMs = 0;
