policy: Bound the fixed cost of a tick and of a decision

Every tick copied the task list of every worker, and every decision searched the service list and, with estimates, all workers.

Change: leases are scanned five times a second without copies, services have an index, the pool keeps its largest offer.

--- a/Source/config/document.cpp
+++ b/Source/config/document.cpp
@@ -176,6 +176,7 @@
     });
     readList(reader, "services", maxServices, [&](const nlohmann::json &item, const std::string &pointer) {
         document.services.push_back(readService(item, pointer, services, errors));
+        document.serviceIndex.emplace(document.services.back().name, document.services.size() - 1);
     });
     readList(reader, "workerShapes", maxShapes, [&](const nlohmann::json &item, const std::string &pointer) {
         document.workerShapes.push_back(readShape(item, pointer, errors));
@@ -199,12 +200,10 @@
     }
 }
 
-const ServiceDeclaration *findService(const Document &document, std::string_view name)
+const ServiceDeclaration *findService(const Document &document, const std::string &name)
 {
-    const auto found = std::find_if(document.services.begin(), document.services.end(), [name](const ServiceDeclaration &service) {
-        return service.name == name;
-    });
-    return found == document.services.end() ? nullptr : &*found;
+    const auto found = document.serviceIndex.find(name);
+    return found == document.serviceIndex.end() ? nullptr : &document.services[found->second];
 }
 
 std::string digestOf(std::string_view text)
--- a/Source/config/document.h
+++ b/Source/config/document.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace rosemaryturn::config
@@ -44,6 +45,7 @@
 {
     std::vector<TeamDeclaration> teams;
     std::vector<ServiceDeclaration> services;
+    std::unordered_map<std::string, std::size_t> serviceIndex; ///< Positions in services, by name.
     std::vector<model::Resources> workerShapes; ///< Shapes that work may be sized for before a worker announces itself.
 };
 
@@ -68,7 +70,7 @@
 void checkSuccession(const Document &before, const Document &after, std::vector<FieldError> &errors);
 
 /** @param document a document. @param name a service. @return its declaration, or null. */
-const ServiceDeclaration *findService(const Document &document, std::string_view name);
+const ServiceDeclaration *findService(const Document &document, const std::string &name);
 
 /** @param text a document's text. @return its digest, by which it is promoted. */
 std::string digestOf(std::string_view text);
--- a/Source/control/cell.h
+++ b/Source/control/cell.h
@@ -112,6 +112,7 @@
     std::uint64_t expectedFrom = 0; ///< First announcement that must list it, once confirmed.
     std::uint64_t seenIn = 0; ///< Latest announcement that listed it.
     std::uint64_t dispatchedMs = 0;
+    std::uint64_t runUntilMs = UINT64_MAX; ///< When its longest run is over.
     std::uint32_t countedAttempts = 0; ///< Attempts that count against the limit.
     model::Reason stopReason = model::Reason::None; ///< Why the worker is asked to stop it.
     policy::Correction correction = policy::Correction::None;
@@ -192,6 +193,7 @@
     std::uint64_t nextReconcileMs = 0;
     std::uint64_t nextRetentionMs = 0;
     std::uint64_t nextEligibilityMs = 0;
+    std::uint64_t nextLeaseScanMs = 0;
 };
 
 /** One data centre's cell on one host. */
--- a/Source/control/cellleader.cpp
+++ b/Source/control/cellleader.cpp
@@ -18,6 +18,12 @@
     return (options.startWindowMs + options.taskLeaseMs) * (hundred + options.driftPercent) / hundred;
 }
 
+void noteDispatch(const model::Task &task, LiveTask &live, const Now &now)
+{
+    live.dispatchedMs = now.monotonicMs;
+    live.runUntilMs = task.spec.maxRunMs > 0 ? now.monotonicMs + task.spec.maxRunMs : UINT64_MAX;
+}
+
 void inheritDispatched(Cell &cell, const model::Task &task, LiveTask &live, const Now &now)
 {
     const auto worker = policy::findWorker(cell.leader.pool, task.worker);
@@ -25,7 +31,7 @@
         occupyWorker(cell, task, live, *worker);
     }
     live.leaseUntilMs = now.monotonicMs + inheritedLeaseMs(cell.options);
-    live.dispatchedMs = now.monotonicMs;
+    noteDispatch(task, live, now);
     live.countedAttempts = task.attempt;
     if (task.cancelled) {
         live.stopReason = model::Reason::Cancelled;
@@ -58,7 +64,7 @@
     live.placing = false;
     live.confirmed = false;
     live.seenIn = 0;
-    live.dispatchedMs = now.monotonicMs;
+    noteDispatch(task, live, now);
     // Counted from the announcement, since the worker takes no start that refers to an older one than its window.
     live.leaseUntilMs = worker.heardMs + inheritedLeaseMs(cell.options);
     StartOrder order;
--- a/Source/control/cellsubmit.cpp
+++ b/Source/control/cellsubmit.cpp
@@ -112,15 +112,10 @@
 {
     const model::Resources declared = model::needOf(spec);
     const auto estimate = cell.leader.estimates.find(spec.service);
-    if (estimate == cell.leader.estimates.end() || cell.leader.pool.workers.empty()) {
+    if (estimate == cell.leader.estimates.end()) {
         return declared;
     }
-    model::Resources largest;
-    for (const policy::PooledWorker &worker : cell.leader.pool.workers) {
-        largest.cpuMillis = std::max(largest.cpuMillis, worker.offer.cpuMillis);
-        largest.memoryMb = std::max(largest.memoryMb, worker.offer.memoryMb);
-    }
-    return policy::reservedFor(declared, estimate->second, largest);
+    return policy::reservedFor(declared, estimate->second, cell.leader.pool.largestOffer);
 }
 
 void submit(Cell &cell, Token token, const wire::RequestT &request, const Now &now, CellOutput &output)
--- a/Source/control/cellworkers.cpp
+++ b/Source/control/cellworkers.cpp
@@ -10,6 +10,7 @@
 {
 constexpr std::uint64_t hundred = 100;
 constexpr std::uint64_t eligibilityEveryMs = 200;
+constexpr std::uint64_t leaseScanEveryMs = 200;
 /** Part of the start window, in percent, after which a silent worker gets no new work; the rest is for the start to arrive. */
 constexpr std::uint64_t freshPercent = 60;
 
@@ -225,6 +226,12 @@
     output.proposals.push_back(wire::encodeChange(std::move(record)));
 }
 
+bool isDue(const Cell &cell, model::TaskId id, const Now &now)
+{
+    const LiveTask &live = cell.leader.live.at(id);
+    return !live.placing && (now.monotonicMs > live.leaseUntilMs || now.monotonicMs > live.runUntilMs);
+}
+
 void expireTask(Cell &cell, model::TaskId id, const Now &now, CellOutput &output)
 {
     const LiveTask &live = cell.leader.live.at(id);
@@ -238,8 +245,7 @@
         attemptEnded(cell, id, AttemptEnd::Lost, restarted ? model::Reason::WorkerRestarted : model::Reason::LeaseExpired, {}, now, output);
         return;
     }
-    const bool tooLong = task.spec.maxRunMs > 0 && now.monotonicMs > live.dispatchedMs + task.spec.maxRunMs;
-    if (tooLong && live.stopReason == model::Reason::None) {
+    if (now.monotonicMs > live.runUntilMs && live.stopReason == model::Reason::None) {
         requestStop(cell, id, model::Reason::RunTimeExceeded);
     }
 }
@@ -342,13 +348,22 @@
 
 void expireLeases(Cell &cell, const Now &now, CellOutput &output)
 {
+    if (now.monotonicMs < cell.leader.nextLeaseScanMs) {
+        return;
+    }
+    cell.leader.nextLeaseScanMs = now.monotonicMs + leaseScanEveryMs;
+    std::vector<model::TaskId> due;
     for (policy::WorkerIndex index = 0; index < cell.leader.workers.size(); ++index) {
-        const std::vector<model::TaskId> tasks(cell.leader.workers[index].tasks.begin(), cell.leader.workers[index].tasks.end());
-        for (const model::TaskId id : tasks) {
-            expireTask(cell, id, now, output);
+        for (const model::TaskId id : cell.leader.workers[index].tasks) {
+            if (isDue(cell, id, now)) {
+                due.push_back(id);
+            }
         }
         forgetQuietWorker(cell, index, now, output);
     }
+    for (const model::TaskId id : due) {
+        expireTask(cell, id, now, output);
+    }
 }
 
 void refreshEligibility(Cell &cell, const Now &now)
--- a/Source/policy/workerpool.cpp
+++ b/Source/policy/workerpool.cpp
@@ -1,5 +1,7 @@
 #include "policy/workerpool.h"
 
+#include <algorithm>
+
 namespace rosemaryturn::policy
 {
 namespace
@@ -51,6 +53,8 @@
     removeFromIndex(pool, index);
     PooledWorker &worker = pool.workers[index];
     pool.totalOffer = pool.totalOffer - worker.offer + offer;
+    pool.largestOffer.cpuMillis = std::max(pool.largestOffer.cpuMillis, offer.cpuMillis);
+    pool.largestOffer.memoryMb = std::max(pool.largestOffer.memoryMb, offer.memoryMb);
     worker.rack = rack;
     worker.offer = offer;
     addToIndex(pool, index);
--- a/Source/policy/workerpool.h
+++ b/Source/policy/workerpool.h
@@ -40,6 +40,7 @@
     std::set<std::pair<std::uint64_t, WorkerIndex>> accelerated; ///< Eligible workers with accelerators.
     model::Resources totalOffer; ///< Of all workers, eligible or not.
     model::Resources totalUsed;
+    model::Resources largestOffer; ///< Most of each resource that any worker ever offered.
 };
 
 /** Adds a worker or changes its shape. @param pool the pool. @param id its name. @param rack its rack. @param offer what it offers. @return its position. */
