--- a/Source/config/document.cpp
+++ b/Source/config/document.cpp
@@ -14,8 +14,9 @@
 constexpr std::size_t maxTeams = 2000;
 constexpr std::size_t maxServices = 5000;
 constexpr std::size_t maxShapes = 100;
-constexpr std::uint64_t maxCpuMillis = 10'000'000;
-constexpr std::uint64_t maxMemoryMb = 100'000'000;
+/** Above what a whole data centre offers, since quotas are read by the same bounds. */
+constexpr std::uint64_t maxCpuMillis = 1'000'000'000;
+constexpr std::uint64_t maxMemoryMb = 1'000'000'000;
 constexpr std::uint64_t maxAccelerators = 10'000;
 constexpr std::uint64_t maxSlots = 10'000;
 constexpr std::uint64_t maxInstances = 10'000;
