transport: Read peer sockets only where something arrived; count refusals at the edge

The peer thread read every connection after every wake and cleared 64 KiB each time. Refusals that never reach the control thread had no counter.

Change: the result of poll decides what is read; the buffer is not cleared; edge refusals are counted and added to the reasons of /v1/metrics.

--- a/Source/control/hoststatus.cpp
+++ b/Source/control/hoststatus.cpp
@@ -128,7 +128,7 @@
     Json reasons = Json::object();
     for (const model::ReasonInfo &info : model::allReasons()) {
         if (info.reason != model::Reason::None) {
-            reasons[std::string(info.name)] = metrics.reasons.at(static_cast<std::size_t>(info.reason));
+            reasons[std::string(info.name)] = metrics.reasons.at(static_cast<std::size_t>(info.reason)) + telemetry::edgeCounters().counted(info.reason);
         }
     }
     return reasons;
--- a/Source/telemetry/metrics.cpp
+++ b/Source/telemetry/metrics.cpp
@@ -50,6 +50,22 @@
     ++metrics.reasons.at(static_cast<std::size_t>(reason));
 }
 
+void EdgeCounters::count(model::Reason reason)
+{
+    ++m_counts.at(static_cast<std::size_t>(reason));
+}
+
+std::uint64_t EdgeCounters::counted(model::Reason reason) const
+{
+    return m_counts.at(static_cast<std::size_t>(reason));
+}
+
+EdgeCounters &edgeCounters()
+{
+    static EdgeCounters counters;
+    return counters;
+}
+
 ProcessCost processCost()
 {
     ProcessCost cost;
--- a/Source/telemetry/metrics.h
+++ b/Source/telemetry/metrics.h
@@ -12,6 +12,7 @@
 #include <boost/accumulators/statistics/stats.hpp>
 
 #include <array>
+#include <atomic>
 #include <cstdint>
 #include <string>
 
@@ -62,6 +63,22 @@
 /** Counts a refusal, retry or end. @param metrics the counters. @param reason its reason. */
 void count(Metrics &metrics, model::Reason reason);
 
+/** Refusals at the edge, counted by the traffic threads of the process. */
+class EdgeCounters
+{
+public:
+    /** @param reason why a request was refused before it reached the control thread. */
+    void count(model::Reason reason);
+    /** @param reason a reason. @return how often it was counted. */
+    std::uint64_t counted(model::Reason reason) const;
+
+private:
+    std::array<std::atomic<std::uint64_t>, reasonCapacity> m_counts{};
+};
+
+/** @return the counters of this process. */
+EdgeCounters &edgeCounters();
+
 /** Bytes and connections, counted by the traffic threads. */
 struct TrafficTotals
 {
--- a/Source/transport/gateway.cpp
+++ b/Source/transport/gateway.cpp
@@ -1,6 +1,7 @@
 #include "transport/gateway.h"
 
 #include "model/reason.h"
+#include "telemetry/metrics.h"
 
 #include <chrono>
 #include <utility>
@@ -14,6 +15,7 @@
 
 wire::ReplyT refusedReply(model::Reason reason)
 {
+    telemetry::edgeCounters().count(reason);
     wire::ReplyT reply;
     reply.error = static_cast<std::uint16_t>(reason);
     return reply;
--- a/Source/transport/httpserver.cpp
+++ b/Source/transport/httpserver.cpp
@@ -41,7 +41,7 @@
     RouteContext &context = *static_cast<RouteContext *>(data);
     ++*context.inFlight;
     if (request->binary_body_length > context.maxBodyBytes) {
-        send(*response, refusal(model::Reason::BodyTooLarge, "send at most " + std::to_string(context.maxBodyBytes) + " bytes"));
+        send(*response, refuseAtEdge(model::Reason::BodyTooLarge, "send at most " + std::to_string(context.maxBodyBytes) + " bytes"));
     } else {
         send(*response, context.route.handler(HttpCall(*request)));
     }
@@ -54,7 +54,7 @@
 
 int handleUnknown(const _u_request *, _u_response *response, void *)
 {
-    send(*response, refusal(model::Reason::NotFound, "no such call; see docs/PROTOCOL.md"));
+    send(*response, refuseAtEdge(model::Reason::NotFound, "no such call; see docs/PROTOCOL.md"));
     return U_CALLBACK_COMPLETE;
 }
 }
--- a/Source/transport/peerconnection.cpp
+++ b/Source/transport/peerconnection.cpp
@@ -38,6 +38,7 @@
 PeerConnection::PeerConnection(PeerConnection &&other) noexcept
     : peer(std::move(other.peer))
     , dialled(other.dialled)
+    , readable(other.readable)
     , greeted(other.greeted)
     , heardMs(other.heardMs)
     , nextHeartbeatMs(other.nextHeartbeatMs)
@@ -57,6 +58,7 @@
         std::swap(m_sent, other.m_sent);
         peer = std::move(other.peer);
         dialled = other.dialled;
+        readable = other.readable;
         greeted = other.greeted;
         heardMs = other.heardMs;
         nextHeartbeatMs = other.nextHeartbeatMs;
@@ -87,7 +89,7 @@
 
 std::error_code PeerConnection::receive(std::uint64_t nowMs, std::vector<std::unique_ptr<wire::PeerFrameT>> &frames)
 {
-    std::array<std::uint8_t, readBytes> buffer{};
+    std::array<std::uint8_t, readBytes> buffer; // Not cleared: only what arrived is looked at.
     const ssize_t count = ::recv(m_descriptor, buffer.data(), buffer.size(), 0);
     if (count == 0) {
         return TransportError::NoConnection;
--- a/Source/transport/peerconnection.h
+++ b/Source/transport/peerconnection.h
@@ -37,6 +37,7 @@
 
     std::string peer; ///< Host id of the other end; empty until its greeting.
     bool dialled = false;
+    bool readable = false; ///< The last wait saw something to read, or an end.
     bool greeted = false; ///< Both sides agreed on cluster and version.
     std::uint64_t heardMs = 0; ///< When bytes last arrived.
     std::uint64_t nextHeartbeatMs = 0;
--- a/Source/transport/peernetwork.cpp
+++ b/Source/transport/peernetwork.cpp
@@ -216,16 +216,25 @@
         waits.push_back({connection.descriptor(), events, 0});
     }
     poll(waits.data(), waits.size(), m_failed.empty() ? pollMs : 0);
+    m_incoming = (waits[1].revents & POLLIN) != 0;
+    std::size_t position = 2;
+    for (PeerConnection &connection : m_connections) {
+        connection.readable = waits[position++].revents != 0;
+    }
     eventfd_t drained = 0;
     eventfd_read(m_wake, &drained);
 }
 
 void PeerNetwork::serve(std::uint64_t nowMs)
 {
-    acceptNew(nowMs);
+    if (m_incoming) {
+        acceptNew(nowMs);
+    }
     for (PeerConnection &connection : m_connections) {
         std::error_code error;
-        readFrom(connection, nowMs, error);
+        if (connection.readable) {
+            readFrom(connection, nowMs, error);
+        }
         if (!error) {
             keepAlive(connection, nowMs, error);
         }
--- a/Source/transport/peernetwork.h
+++ b/Source/transport/peernetwork.h
@@ -82,6 +82,7 @@
     PeerHandlers m_handlers;
     int m_listener = -1;
     int m_wake = -1;
+    bool m_incoming = false; ///< A new connection waits.
     std::list<PeerConnection> m_connections;
     std::map<std::string, Dial> m_dials;
     std::vector<std::pair<PeerConnection *, std::error_code>> m_failed;
--- a/Source/transport/requestjson.cpp
+++ b/Source/transport/requestjson.cpp
@@ -1,6 +1,7 @@
 #include "transport/requestjson.h"
 
 #include "model/task.h"
+#include "telemetry/metrics.h"
 
 #include <orcania.h>
 #include <xxhash.h>
@@ -339,8 +340,15 @@
     return {status, Json{{"error", error}}.dump(-1, ' ', false, Json::error_handler_t::replace), retryAfterMs};
 }
 
+HttpAnswer refuseAtEdge(model::Reason reason, const std::string &detail)
+{
+    telemetry::edgeCounters().count(reason);
+    return refusal(reason, detail);
+}
+
 HttpAnswer refusal(const std::vector<FieldError> &errors)
 {
+    telemetry::edgeCounters().count(errors.front().reason);
     return refusal(errors.front().reason, config::describeAll(errors));
 }
 
--- a/Source/transport/requestjson.h
+++ b/Source/transport/requestjson.h
@@ -41,7 +41,10 @@
 /** @param reason why a request is refused. @param detail what in it. @param retryAfterMs when to try again; 0 for no advice. @return the answer. */
 HttpAnswer refusal(model::Reason reason, const std::string &detail, std::uint32_t retryAfterMs = 0);
 
-/** @param errors what is wrong with a body. @return the answer. */
+/** Refuses and counts a request that does not reach the control thread. @param reason why. @param detail what in it. @return the answer. */
+HttpAnswer refuseAtEdge(model::Reason reason, const std::string &detail);
+
+/** Refuses and counts a body. @param errors what is wrong with a body. @return the answer. */
 HttpAnswer refusal(const std::vector<config::FieldError> &errors);
 
 /** @param reply the outcome of a task request. @return the answer, 200 when all tasks ended, 202 before. */
--- a/Source/transport/upstreamapi.cpp
+++ b/Source/transport/upstreamapi.cpp
@@ -8,7 +8,7 @@
 {
 HttpAnswer refuseName(const std::string &worker)
 {
-    return refusal(model::Reason::BadKey, "/upstreams has " + worker + ": name a worker with A-Z a-z 0-9 . _ : -");
+    return refuseAtEdge(model::Reason::BadKey, "/upstreams has " + worker + ": name a worker with A-Z a-z 0-9 . _ : -");
 }
 
 HttpAnswer takeAnnouncement(Gateway &gateway, const std::string &dataCentre, const HttpCall &call)
--- a/Tests/control/faulttable.cpp
+++ b/Tests/control/faulttable.cpp
@@ -15,6 +15,7 @@
     const char *name;
     void (*bringAbout)(Bench &bench);
     std::uint64_t lastsMs;
+    bool secondHostsDurable = true;
     bool endsWork = false; ///< The fault itself ends work, as a cancellation does.
 };
 
@@ -231,7 +232,9 @@
 /** Submits work before, during and after the fault, heals, and waits for every end. */
 void runRow(const FaultRow &row, std::uint64_t seed, const fakes::PlantedDefects &defects, std::vector<std::string> &violations)
 {
-    Bench bench(seed, defects);
+    constexpr std::size_t threeCentres = 3;
+    constexpr std::size_t threeWorkers = 3;
+    Bench bench(seed, defects, threeCentres, threeWorkers, row.secondHostsDurable);
     bench.runUntil(
         [&bench] {
             return bench.isSettled();
@@ -403,7 +406,7 @@
 
 TEST_CASE(FaultTable, CancellationWave)
 {
-    checkRow({"cancellation wave", cancelEverything, 1000, true});
+    checkRow({"cancellation wave", cancelEverything, 1000, true, true});
 }
 
 TEST_CASE(FaultTable, LeaderIsCutOffTogetherWithAWorker)
@@ -431,6 +434,31 @@
     checkRow({"any two", anyTwo, 6000});
 }
 
+TEST_CASE(FaultTable, HostWithoutADiskCrashes)
+{
+    checkRow({"host without a disk crashes",
+              [](Bench &bench) {
+                  bench.crash("h1-2");
+              },
+              3000,
+              false});
+}
+
+TEST_CASE(FaultTable, OnlyDiskOfADataCentreIsAwayForAWhile)
+{
+    checkRow({"the host with the disk crashes",
+              [](Bench &bench) {
+                  bench.crash("h1-1");
+              },
+              6000,
+              false});
+}
+
+TEST_CASE(FaultTable, AllHostsRestartAndHalfHaveNoDisk)
+{
+    checkRow({"all hosts restart, half have no disk", restartAllHosts, 3000, false});
+}
+
 TEST_CASE(FaultTable, CheckerCatchesFencingOff)
 {
     fakes::PlantedDefects defects;
--- a/Tests/fakes/bench.cpp
+++ b/Tests/fakes/bench.cpp
@@ -13,17 +13,17 @@
 constexpr std::uint64_t mostSyncMs = 8;
 constexpr std::uint64_t shortRunMs = 200;
 
-config::Settings makeSettings(const std::string &self, std::size_t centres)
+config::Settings makeSettings(const std::string &self, std::size_t centres, bool secondHostsDurable)
 {
     std::string hosts;
     for (std::size_t centre = 1; centre <= centres; ++centre) {
         for (std::size_t host = 1; host <= 2; ++host) {
             hosts += (hosts.empty() ? "" : ",") + std::string(R"({"id":")") + Bench::hostId(centre, host) + R"(","dataCentre":"dc)" + std::to_string(centre)
-                + R"(","address":"127.0.0.1","peerPort":1,"httpPort":1})";
+                + R"(","address":"127.0.0.1","peerPort":1,"httpPort":1,"durable":)" + (host == 1 || secondHostsDurable ? "true}" : "false}");
         }
     }
     const std::string text
-        = R"({"cluster":"bench","host":")" + self + R"(","dataFolder":"unused","hosts":[)" + hosts + R"(],"limits":{"snapshotEveryEntries":200}})";
+        = R"({"cluster":"bench","host":")" + self + R"(","dataFolder":")" + (self.back() == '1' || secondHostsDurable ? "unused" : "") + R"(","hosts":[)" + hosts + R"(],"limits":{"snapshotEveryEntries":200}})";
     std::vector<config::FieldError> errors;
     return *config::parseSettings(text, errors);
 }
@@ -43,10 +43,11 @@
         + common + R"(,"kind":"gang","attempts":50,"retryPercent":100}]})";
 }
 
-Bench::Bench(std::uint64_t seed, const PlantedDefects &defects, std::size_t centres, std::size_t workersPerCentre)
+Bench::Bench(std::uint64_t seed, const PlantedDefects &defects, std::size_t centres, std::size_t workersPerCentre, bool secondHostsDurable)
     : m_defects(defects)
     , m_random(seed)
     , m_centres(centres)
+    , m_secondHostsDurable(secondHostsDurable)
 {
     for (std::size_t centre = 1; centre <= centres; ++centre) {
         for (std::size_t number = 1; number <= 2; ++number) {
@@ -94,6 +95,10 @@
     ++host.life;
     host.paused = false;
     host.held.clear();
+    if (!m_secondHostsDurable && host.id.back() == '2') {
+        host.disk.clear();
+        host.incarnation = 2 + m_random() % 1'000'000'000;
+    }
     std::map<std::string, std::vector<wire::JournalRecordT>> disk = host.disk;
     if (m_defects.voteForgotten) {
         for (auto &[group, records] : disk) {
@@ -102,7 +107,7 @@
             });
         }
     }
-    host.host = std::make_unique<control::Host>(control::makeHost(makeSettings(host.id, m_centres), host.incarnation, disk, m_random(), now()));
+    host.host = std::make_unique<control::Host>(control::makeHost(makeSettings(host.id, m_centres, m_secondHostsDurable), host.incarnation, disk, m_random(), now()));
     std::erase_if(m_toldPeers, [&host](const auto &told) {
         return told.first.first == host.id;
     });
--- a/Tests/fakes/bench.h
+++ b/Tests/fakes/bench.h
@@ -60,7 +60,7 @@
 public:
     /** @param seed of all random choices. @param defects planted faults. @param centres data centres of two hosts each. @param workersPerCentre workers in
      * each. */
-    explicit Bench(std::uint64_t seed, const PlantedDefects &defects = {}, std::size_t centres = 3, std::size_t workersPerCentre = 3);
+    explicit Bench(std::uint64_t seed, const PlantedDefects &defects = {}, std::size_t centres = 3, std::size_t workersPerCentre = 3, bool secondHostsDurable = true);
 
     /** Advances the clock in small steps and checks the invariants after each. @param milliseconds how far. */
     void run(std::uint64_t milliseconds);
@@ -154,6 +154,7 @@
     std::mt19937_64 m_random;
     std::uint64_t m_nowMs = 1000;
     std::size_t m_centres;
+    bool m_secondHostsDurable;
     control::Token m_nextToken = 1;
     std::map<std::pair<std::string, control::Token>, std::function<void(const wire::ReplyT &)>> m_tokens;
     std::multimap<std::uint64_t, Delivery> m_deliveries;
