--- a/Source/consensus/replication.cpp
+++ b/Source/consensus/replication.cpp
@@ -365,11 +365,13 @@
         replyToAppend(node, message, reply, output);
         return;
     }
-    bool changed = false;
+    // Looking the membership up walks the log, so it is done only when an entry that carries one came or went.
+    bool membershipTouched = false;
     for (const auto &entry : request.entries) {
-        changed = takeEntry(node, *entry, output) || changed;
+        const bool taken = takeEntry(node, *entry, output);
+        membershipTouched = membershipTouched || (taken && (entry->kind == wire::EntryKind::Membership || entry->index <= node.membershipIndex));
     }
-    if (changed) {
+    if (membershipTouched) {
         refreshMembership(node);
     }
     const std::uint64_t known = request.previousIndex + request.entries.size();
