control: Hand long-waiting work to another data centre

Ruled out: telling free capacity to all data centres all the time (billed traffic without need), and moving the key's home (a resend would look in two places).

Change: the home records the hand-off as a dispatch before sending it, and asks by a key made from task and attempt until the outcome is definite.

Seen failing first: Cell.HandsLongWaitingWorkOverAndTakesItsEnd, row 'unknown': an unknown end without a reason was taken as permission to repeat non-idempotent work; repeatRefusal now tells 'may be repeated' apart from 'no reason'.

--- a/Benchmarks/decisions.cpp
+++ b/Benchmarks/decisions.cpp
@@ -20,7 +20,8 @@
 constexpr std::uint64_t stepMs = 20;
 
 /** What one way of deciding gave. */
-struct Result {
+struct Result
+{
     std::vector<double> urgentWaitMs;
     std::vector<double> batchWaitMs;
     std::vector<double> gangWaitMs;
@@ -61,7 +62,8 @@
 /** First fit over one FIFO queue: the head waits until it fits, and all others behind it. */
 Result runBaseline(const std::vector<Arrival> &list, const benchmarks::EventListOptions &options)
 {
-    struct End {
+    struct End
+    {
         std::uint64_t atMs;
         std::size_t arrival;
         std::vector<policy::WorkerIndex> workers;
@@ -258,7 +260,22 @@
                 static_cast<unsigned long long>(options.durationMs / 1000),
                 static_cast<unsigned long long>(options.seed));
     std::printf("%-8s %4s  %7s %7s %7s  %7s %7s  %7s %7s  %5s %5s %5s  %6s  %8s  %7s %7s\n",
-                "way", "load", "urg p50", "urg p99", "urg max", "bat p50", "bat p99", "gang50", "gang99", "cpu", "mem", "acc", "goodp", "not-run", "us p50", "us p99");
+                "way",
+                "load",
+                "urg p50",
+                "urg p99",
+                "urg max",
+                "bat p50",
+                "bat p99",
+                "gang50",
+                "gang99",
+                "cpu",
+                "mem",
+                "acc",
+                "goodp",
+                "not-run",
+                "us p50",
+                "us p99");
     for (const double load : {0.5, 1.0, 2.0, 4.0}) {
         options.load = load;
         const auto list = benchmarks::makeEventList(options);
--- a/Benchmarks/eventlist.h
+++ b/Benchmarks/eventlist.h
@@ -10,7 +10,8 @@
 namespace rosemaryturn::benchmarks
 {
 /** One piece of work that arrives. */
-struct Arrival {
+struct Arrival
+{
     std::uint64_t atMs = 0;
     std::string service; ///< One of the services of benchmarkDocument().
     bool urgent = false;
@@ -20,7 +21,8 @@
 };
 
 /** Shape of a list. */
-struct EventListOptions {
+struct EventListOptions
+{
     std::uint64_t seed = 1;
     std::size_t workers = 50;
     double load = 1; ///< Offered processor time as a multiple of what the workers offer.
--- a/Benchmarks/slopes.cpp
+++ b/Benchmarks/slopes.cpp
@@ -46,7 +46,8 @@
     for (int i = 0; i < teams; ++i) {
         const std::string name = "t" + std::to_string(i);
         list += (i == 0 ? "" : ",") + std::string(R"({"name":")") + name + R"(","quota":{"cpuMillis":100000000}})";
-        services += (i == 0 ? "" : ",") + std::string(R"({"name":"s)") + std::to_string(i) + R"(","team":")" + name + R"(","home":"dc1","cpuMillis":500,"memoryMb":500})";
+        services += (i == 0 ? "" : ",") + std::string(R"({"name":"s)") + std::to_string(i) + R"(","team":")" + name
+            + R"(","home":"dc1","cpuMillis":500,"memoryMb":500})";
     }
     return R"({"teams":[)" + list + R"(],"services":[)" + services + "]}";
 }
@@ -101,7 +102,8 @@
     print("tick with nothing to place, 2 rounds of announcements in 100", tick, "us");
     const double finish = microsOf(
         [&] {
-            for (const control::StartOrder &order : std::vector<control::StartOrder>(bench->starts.begin(), bench->starts.begin() + static_cast<std::ptrdiff_t>(dispatched))) {
+            for (const control::StartOrder &order :
+                 std::vector<control::StartOrder>(bench->starts.begin(), bench->starts.begin() + static_cast<std::ptrdiff_t>(dispatched))) {
                 bench->finishTask(order);
             }
         },
@@ -168,7 +170,8 @@
     wire::TaskEndedT ended;
     ended.answer.assign(payloadBytes, 'a');
     double perTask = 0;
-    for (const wire::Bytes &bytes : {wire::encodeChange(std::move(accepted)), wire::encodeChange(std::move(dispatched)), wire::encodeChange(std::move(ended))}) {
+    for (const wire::Bytes &bytes :
+         {wire::encodeChange(std::move(accepted)), wire::encodeChange(std::move(dispatched)), wire::encodeChange(std::move(ended))}) {
         perTask += static_cast<double>(bytes.size());
     }
     print("log records of a task: accepted, dispatched, ended", perTask, "bytes");
--- a/Source/config/document.cpp
+++ b/Source/config/document.cpp
@@ -104,6 +104,10 @@
     service.kind = readKind(reader);
     service.placement = readPlacement(reader, service.kind);
     service.idempotent = reader.flag("idempotent", true);
+    service.spill = reader.flag("spill", false);
+    if (service.spill && service.kind != wire::TaskKind::Batch) {
+        reader.fail("spill", model::Reason::OutOfRange, "only kind batch can spill");
+    }
     service.size = readResources(reader, true);
     service.size.slots = 1;
     service.instances = static_cast<std::uint32_t>(reader.number("instances", {0, maxInstances, 0}));
--- a/Source/config/document.h
+++ b/Source/config/document.h
@@ -33,6 +33,7 @@
     policy::PlacementPolicy placement = policy::PlacementPolicy::Pack;
     bool idempotent = true;
     model::Resources size;
+    bool spill = false; ///< Whether its tasks may run in another data centre when this one is full.
     std::uint32_t instances = 0; ///< Of a long-running service, kept running in its home.
     std::uint32_t attempts = 0;
     std::uint32_t retryPercent = 0;
--- a/Source/control/cell.h
+++ b/Source/control/cell.h
@@ -8,6 +8,7 @@
 #include "policy/placement.h"
 #include "policy/quarantine.h"
 #include "policy/retry.h"
+#include "policy/spill.h"
 #include "telemetry/metrics.h"
 
 #include <cstdint>
@@ -44,6 +45,8 @@
     std::uint64_t gangReservationMs = 30000; ///< Longest reservation.
     std::uint64_t preemptionMs = 4000; ///< Longest time that a worker is withheld for urgent work.
     std::uint64_t quietWorkerMs = 600000; ///< Silence after which an idle worker is forgotten.
+    std::vector<std::string> otherCentres; ///< Where work may be handed to.
+    policy::SpillPolicy spill;
     policy::AdmissionPolicy admission;
     policy::RetryPolicy retry;
     policy::QuarantinePolicy quarantine;
@@ -88,12 +91,21 @@
     wire::ReplyT reply;
 };
 
+/** A request to another data centre about a task that was handed to it. */
+struct SpillCall
+{
+    model::TaskId task = 0;
+    std::uint32_t attempt = 0;
+    wire::RequestT request; ///< Names the data centre; repeated by the same key until its outcome is definite.
+};
+
 /** What a call asks its surroundings to do. */
 struct CellOutput
 {
     std::vector<wire::Bytes> proposals; ///< Records to put into the log, in order.
     std::vector<TokenReply> replies;
     std::vector<StartOrder> starts;
+    std::vector<SpillCall> spills;
 };
 
 /** What the leader knows of a task that has not ended, beyond the replicated state. */
@@ -194,6 +206,9 @@
     std::uint64_t nextRetentionMs = 0;
     std::uint64_t nextEligibilityMs = 0;
     std::uint64_t nextLeaseScanMs = 0;
+    std::uint64_t nextSpillMs = 0;
+    std::size_t nextSpillCentre = 0;
+    std::multimap<std::uint64_t, SpillCall> spillRetries; ///< By the time at which they are made again.
 };
 
 /** One data centre's cell on one host. */
@@ -223,6 +238,9 @@
 /** Takes workers' replies to start orders. @param cell the cell. @param replies the replies. @param now the present. @param output what to do. */
 void handleStartReplies(Cell &cell, const std::vector<StartReply> &replies, const Now &now, CellOutput &output);
 
+/** Takes the answer to a spill call. @param cell the cell. @param call the call. @param reply the answer. @param now the present. @param output what to do. */
+void handleSpillReply(Cell &cell, const SpillCall &call, const wire::ReplyT &reply, const Now &now, CellOutput &output);
+
 /** Lets time pass and places waiting work. @param cell the cell. @param now the present. @param leaseHeld whether the leader lease holds. @param output what to
  * do. */
 void tickCell(Cell &cell, const Now &now, bool leaseHeld, CellOutput &output);
--- a/Source/control/cellattempts.cpp
+++ b/Source/control/cellattempts.cpp
@@ -1,6 +1,7 @@
 #include "control/cellinternal.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace rosemaryturn::control::internal
 {
@@ -44,8 +45,8 @@
     return wire::Outcome::Unknown;
 }
 
-/** @return None when the attempt may be repeated, else why not. */
-model::Reason repeatRefusal(Cell &cell, const model::Task &task, const LiveTask &live, AttemptEnd end, model::Reason reason)
+/** @return why the attempt may not be repeated; nothing when it may. */
+std::optional<model::Reason> repeatRefusal(const Cell &cell, const model::Task &task, const LiveTask &live, AttemptEnd end, model::Reason reason)
 {
     if (task.cancelled) {
         return model::Reason::Cancelled;
@@ -58,9 +59,9 @@
         return reason;
     }
     if (task.spec.kind == wire::TaskKind::Service || isFree(reason)) {
-        return model::Reason::None;
+        return std::nullopt;
     }
-    return live.countedAttempts >= retryPolicyOf(cell, task.spec.service).maxAttempts ? model::Reason::AttemptsExhausted : model::Reason::None;
+    return live.countedAttempts >= retryPolicyOf(cell, task.spec.service).maxAttempts ? std::optional(model::Reason::AttemptsExhausted) : std::nullopt;
 }
 
 /** @return how long the next attempt waits. */
@@ -122,12 +123,12 @@
     if (end != AttemptEnd::Stopped && std::find(live.avoid.begin(), live.avoid.end(), live.worker) == live.avoid.end()) {
         live.avoid.push_back(live.worker);
     }
-    const model::Reason refusal = repeatRefusal(cell, task, live, end, reason);
-    if (refusal == model::Reason::None) {
+    const std::optional<model::Reason> refusal = repeatRefusal(cell, task, live, end, reason);
+    if (!refusal) {
         proposeRequeue(cell, task, live, reason, retryDelayMs(cell, task, live, end, reason), now, output);
     } else {
         const bool cancelledUnstarted = refusal == model::Reason::Cancelled && end == AttemptEnd::NeverBegan;
-        proposeEnd(cell, task, cancelledUnstarted ? wire::Outcome::NotRun : outcomeOf(end, task.spec.idempotent), refusal, answer, now, output);
+        proposeEnd(cell, task, cancelledUnstarted ? wire::Outcome::NotRun : outcomeOf(end, task.spec.idempotent), *refusal, answer, now, output);
     }
     if (task.spec.kind == wire::TaskKind::Gang) {
         breakGang(cell, task);
--- a/Source/control/cellinternal.h
+++ b/Source/control/cellinternal.h
@@ -54,6 +54,12 @@
 void expireReservations(Cell &cell, const Now &now);
 void dropReservation(Cell &cell, model::TaskId task);
 
+// cellspill.cpp
+bool isHandedOff(const model::Task &task);
+void askAboutSpilled(Cell &cell, const model::Task &task, CellOutput &output);
+void cancelSpilled(const model::Task &task, CellOutput &output);
+void spillWaiting(Cell &cell, const Now &now, CellOutput &output);
+
 // cellservices.cpp
 void reconcileServices(Cell &cell, const Now &now, CellOutput &output);
 void noteInstance(Cell &cell, const model::Task &task);
--- a/Source/control/cellleader.cpp
+++ b/Source/control/cellleader.cpp
@@ -26,13 +26,16 @@
 
 void inheritDispatched(Cell &cell, const model::Task &task, LiveTask &live, const Now &now)
 {
+    live.countedAttempts = task.attempt;
+    if (isHandedOff(task)) {
+        return; // The other data centre keeps it; it is asked after by its key.
+    }
     const auto worker = policy::findWorker(cell.leader.pool, task.worker);
     if (worker) {
         occupyWorker(cell, task, live, *worker);
     }
     live.leaseUntilMs = now.monotonicMs + inheritedLeaseMs(cell.options);
     noteDispatch(task, live, now);
-    live.countedAttempts = task.attempt;
     if (task.cancelled) {
         live.stopReason = model::Reason::Cancelled;
     }
@@ -79,6 +82,9 @@
     order.windowMs = cell.options.startWindowMs;
     order.leaseMs = cell.options.taskLeaseMs;
     order.spec = task.spec;
+    if (!task.spec.originKey.empty()) {
+        order.spec.key = task.spec.originKey; // The worker sees the caller's key wherever it runs.
+    }
     output.starts.push_back(std::move(order));
     ++cell.metrics.dispatched;
     noteWait(cell, task, live, now);
@@ -153,8 +159,12 @@
     }
 }
 
-void onCancelled(Cell &cell, model::TaskId id)
+void onCancelled(Cell &cell, model::TaskId id, CellOutput &output)
 {
+    if (isHandedOff(cell.state.tasks.at(id))) {
+        cancelSpilled(cell.state.tasks.at(id), output);
+        return;
+    }
     requestStop(cell, id, model::Reason::Cancelled);
 }
 
@@ -319,6 +329,9 @@
         LiveTask &live = adoptTask(cell, task, now);
         if (task.phase == wire::TaskPhase::Dispatched) {
             inheritDispatched(cell, task, live, now);
+            if (isHandedOff(task)) {
+                askAboutSpilled(cell, task, output);
+            }
         } else {
             waiting.push_back(id);
         }
@@ -327,7 +340,6 @@
     for (const model::TaskId id : waiting) {
         wakeQueued(cell, id, now);
     }
-    static_cast<void>(output);
 }
 
 void endLeading(Cell &cell, CellOutput &output)
@@ -371,13 +383,19 @@
         onRefusedPlacement(cell, id, now);
     }
     for (const model::TaskId id : applied.dispatched) {
-        sendStart(cell, id, now, output);
+        const model::Task &task = cell.state.tasks.at(id);
+        if (isHandedOff(task)) {
+            cell.leader.live.at(id).placing = false;
+            askAboutSpilled(cell, task, output);
+        } else {
+            sendStart(cell, id, now, output);
+        }
     }
     for (const model::TaskId id : applied.requeued) {
         onRequeued(cell, id, now);
     }
     for (const model::TaskId id : applied.cancelled) {
-        onCancelled(cell, id);
+        onCancelled(cell, id, output);
     }
     for (const model::TaskId id : applied.ended) {
         onEnded(cell, id, now, output);
@@ -430,6 +448,7 @@
     reconcileServices(cell, now, output);
     proposeRetention(cell, now, output);
     schedule(cell, now, output);
+    spillWaiting(cell, now, output);
 }
 
 void configChanged(Cell &cell, const Now &now)
--- a/Source/control/cellstate.cpp
+++ b/Source/control/cellstate.cpp
@@ -34,7 +34,8 @@
     for (const auto &placement : record.placements) {
         model::Task *task = findTask(state, placement->task);
         const auto worker = state.workers.find(placement->worker);
-        const bool workerKnown = worker != state.workers.end() && worker->second.incarnation == placement->incarnation;
+        const bool handedOff = !placement->worker.empty() && placement->worker.front() == handOffMark;
+        const bool workerKnown = handedOff || (worker != state.workers.end() && worker->second.incarnation == placement->incarnation);
         const bool fits = task != nullptr && task->phase == wire::TaskPhase::Queued && placement->attempt == task->attempt + 1;
         if (!fits || !workerKnown) {
             applied.refused.push_back(placement->task);
--- a/Source/control/cellstate.h
+++ b/Source/control/cellstate.h
@@ -11,6 +11,9 @@
 /** State machines of the control thread: replicated states and the decisions of their leaders. */
 namespace rosemaryturn::control
 {
+/** Starts the name that a task's worker has while another data centre runs it. */
+constexpr char handOffMark = '@';
+
 /** The replicated state of a data centre's cell; changed by apply() only. */
 struct CellState
 {
--- a/Source/control/host.h
+++ b/Source/control/host.h
@@ -97,6 +97,8 @@
     std::map<std::string, std::vector<std::pair<std::uint64_t, Token>>> pendingVerdicts; ///< By worker, with the sequence.
     std::uint64_t nextToken = 1ULL << 62U; ///< Above all tokens that the edge gives.
     std::uint64_t nextCall = 1;
+    std::map<Token, SpillCall> spills; ///< Spill calls under way.
+    std::vector<std::pair<SpillCall, wire::ReplyT>> spillReplies; ///< Answers that the next tick hands to the cell.
     bool draining = false;
     std::map<std::string, std::string> lastDecider; ///< By data centre, the host that last decided there.
 };
--- a/Source/control/hostgroups.cpp
+++ b/Source/control/hostgroups.cpp
@@ -13,6 +13,8 @@
     CellOptions options;
     options.dataCentre = dataCentre;
     options.environment = settings.environment;
+    options.otherCentres = config::dataCentres(settings);
+    std::erase(options.otherCentres, dataCentre);
     options.taskLeaseMs = settings.timing.taskLeaseMs;
     options.startWindowMs = settings.timing.startWindowMs;
     options.driftPercent = settings.timing.driftPercent;
@@ -228,6 +230,18 @@
     runCell(host, std::move(step), now, output);
 }
 
+namespace
+{
+void takeSpillReplies(Host &host, const Now &now, CellOutput &step)
+{
+    const auto replies = std::move(host.spillReplies);
+    host.spillReplies.clear();
+    for (const auto &[call, reply] : replies) {
+        handleSpillReply(host.cell, call, reply, now, step);
+    }
+}
+}
+
 void tickHost(Host &host, const Now &now, HostOutput &output)
 {
     host.cell.config = &host.config;
@@ -240,6 +254,7 @@
     const auto own = host.groups.find(cellGroup(host.dataCentre));
     if (own != host.groups.end()) {
         CellOutput step;
+        takeSpillReplies(host, now, step);
         tickCell(host.cell, now, consensus::holdsLease(own->second, now.monotonicMs), step);
         runCell(host, std::move(step), now, output);
     }
@@ -307,6 +322,12 @@
     for (TokenReply &reply : output.replies) {
         finish(host, reply.token, std::move(reply.reply), now, result);
     }
+    for (SpillCall &spill : output.spills) {
+        const Token token = host.nextToken++;
+        wire::RequestT request = spill.request;
+        host.spills.emplace(token, std::move(spill));
+        takeLocal(host, token, std::move(request), now, result);
+    }
     for (StartOrder &start : output.starts) {
         result.starts.push_back(std::move(start));
     }
--- a/Source/control/hostrouting.cpp
+++ b/Source/control/hostrouting.cpp
@@ -150,6 +150,12 @@
         host.calls.erase(routed->second.callId);
         host.routed.erase(routed);
     }
+    const auto spill = host.spills.find(token);
+    if (spill != host.spills.end()) {
+        host.spillReplies.emplace_back(std::move(spill->second), std::move(reply));
+        host.spills.erase(spill);
+        return;
+    }
     output.replies.push_back({token, std::move(reply)});
 }
 
@@ -281,7 +287,7 @@
     const model::Reason refused = resolveHome(host, request);
     if (refused != model::Reason::None) {
         count(host.cell.metrics, refused);
-        output.replies.push_back({token, errorReply(refused, request.key)});
+        answerLocal(host, token, errorReply(refused, request.key), output);
         return;
     }
     RoutedRequest routed;
--- a/Source/control/hoststatus.cpp
+++ b/Source/control/hoststatus.cpp
@@ -171,6 +171,7 @@
                     {"dispatched", metrics.dispatched},
                     {"answered", metrics.answered},
                     {"requeued", metrics.requeued},
+                    {"spilled", metrics.spilled},
                     {"announcements", metrics.announcements},
                     {"records", metrics.records},
                     {"decisions", metrics.decisions},
--- a/Source/telemetry/metrics.h
+++ b/Source/telemetry/metrics.h
@@ -53,6 +53,7 @@
     std::uint64_t dispatched = 0;
     std::uint64_t answered = 0;
     std::uint64_t requeued = 0;
+    std::uint64_t spilled = 0; ///< Tasks handed to another data centre.
     std::uint64_t announcements = 0;
     std::uint64_t records = 0; ///< Committed records.
     std::uint64_t syncs = 0;
--- a/Tests/control/cell.cpp
+++ b/Tests/control/cell.cpp
@@ -419,6 +419,44 @@
     CHECK_EQUAL(std::uint64_t{100}, bench.cell.metrics.answered);
 }
 
+TEST_CASE(Cell, HandsLongWaitingWorkOverAndTakesItsEnd)
+{
+    struct Row
+    {
+        Reason error;
+        Outcome outcome;
+        TaskPhase phase; ///< Of the task at home afterwards.
+        Outcome end;
+    };
+    const Row rows[] = {
+        {Reason::None, Outcome::Answered, TaskPhase::Ended, Outcome::Answered},
+        {Reason::None, Outcome::NotRun, TaskPhase::Queued, Outcome::None},
+        {Reason::None, Outcome::Failed, TaskPhase::Ended, Outcome::Failed},
+        {Reason::None, Outcome::Unknown, TaskPhase::Ended, Outcome::Unknown},
+        {Reason::QueueFull, Outcome::None, TaskPhase::Queued, Outcome::None},
+        {Reason::HomeSilent, Outcome::None, TaskPhase::Dispatched, Outcome::None},
+        {Reason::HomeUnreachable, Outcome::None, TaskPhase::Dispatched, Outcome::None},
+    };
+    for (const Row &row : rows) {
+        CellBench bench(documentOf(service("s", R"(,"idempotent":false,"spill":true)")));
+        bench.cell.options.otherCentres = {"dc2"};
+        bench.submit("s", "k");
+        bench.run(bench.cell.options.spill.leastWaitMs - 100);
+        CHECK(bench.spills.empty());
+        bench.run(1000);
+        CHECK_EQUAL(std::size_t{1}, bench.spills.size());
+        CHECK_TEXT("k@dc1", bench.spills[0].request.specs.at(0)->originKey);
+        wire::ReplyT reply;
+        reply.error = static_cast<std::uint16_t>(row.error);
+        reply.tasks.push_back(std::make_unique<wire::TaskViewT>());
+        reply.tasks[0]->phase = TaskPhase::Ended;
+        reply.tasks[0]->outcome = row.outcome;
+        bench.takeSpillReply(bench.spills[0], reply);
+        CHECK(bench.task("k").phase == row.phase);
+        CHECK(bench.task("k").outcome == row.end);
+    }
+}
+
 TEST_CASE(Cell, ForgetsAnswersAndKeysInTime)
 {
     CellBench bench(plainDocument);
--- a/Tests/control/faulttable.cpp
+++ b/Tests/control/faulttable.cpp
@@ -174,6 +174,39 @@
     bench.workers.front().onlyEntry = leader;
 }
 
+/** The home has no worker left, so that work that may is handed to the other data centres. */
+void loseHomeWorkers(Bench &bench)
+{
+    for (fakes::BenchWorker &worker : bench.workers) {
+        worker.leaving = worker.shape().worker.rfind("w1-", 0) == 0;
+    }
+    for (int i = 0; i < 12; ++i) {
+        bench.submit("h2-1", task("spill", "spilled" + std::to_string(i)));
+    }
+    bench.run(8000);
+}
+
+void loseHomeWorkersAndLeader(Bench &bench)
+{
+    loseHomeWorkers(bench);
+    crashLeader(bench);
+}
+
+void loseHomeWorkersAndMessages(Bench &bench)
+{
+    loseMessages(bench);
+    loseHomeWorkers(bench);
+}
+
+void loseHomeWorkersAndLinks(Bench &bench)
+{
+    for (fakes::BenchWorker &worker : bench.workers) {
+        worker.runMs = 2000;
+    }
+    loseHomeWorkers(bench);
+    isolateHome(bench);
+}
+
 void crashLeaderAndWitness(Bench &bench)
 {
     bench.crash(cellLeader(bench));
@@ -270,10 +303,13 @@
         },
         90000);
     for (const auto &[key, request] : bench.requests) {
+        if (key.rfind("spilled", 0) == 0 && bench.invariants.begun(key) == 0) {
+            bench.invariants.add("was not handed over: " + key);
+        }
         if (!ended && !request.end && !request.refused) {
             bench.invariants.add("never ended: " + key);
         }
-        const bool repeatable = request.spec.service != "production/once";
+        const bool repeatable = request.spec.service == "production/idem" || request.spec.service == "production/gang";
         if (!row.endsWork && repeatable && request.end && request.end->outcome != wire::Outcome::Answered) {
             bench.invariants.add("repeatable work was given up: " + key + " "
                                  + std::string(model::reasonInfo(static_cast<model::Reason>(request.end->reason)).name));
@@ -414,6 +450,26 @@
     checkRow({"leader cut off with a worker", isolateLeaderWithAWorker, 25000});
 }
 
+TEST_CASE(FaultTable, WorkIsHandedToOtherDataCentres)
+{
+    checkRow({"spill", loseHomeWorkers, 4000});
+}
+
+TEST_CASE(FaultTable, LeaderCrashesWhileWorkIsHandedOver)
+{
+    checkRow({"spill, leader crashes", loseHomeWorkersAndLeader, 4000});
+}
+
+TEST_CASE(FaultTable, MessagesLostWhileWorkIsHandedOver)
+{
+    checkRow({"spill, messages lost", loseHomeWorkersAndMessages, 4000});
+}
+
+TEST_CASE(FaultTable, HomeIsCutOffWhileWorkIsHandedOver)
+{
+    checkRow({"spill, home cut off", loseHomeWorkersAndLinks, 8000});
+}
+
 TEST_CASE(FaultTable, LeaderAndWitnessCrash)
 {
     checkRow({"leader and witness crash", crashLeaderAndWitness, 6000});
--- a/Tests/fakes/bench.cpp
+++ b/Tests/fakes/bench.cpp
@@ -22,8 +22,8 @@
                 + R"(","address":"127.0.0.1","peerPort":1,"httpPort":1,"durable":)" + (host == 1 || secondHostsDurable ? "true}" : "false}");
         }
     }
-    const std::string text
-        = R"({"cluster":"bench","host":")" + self + R"(","dataFolder":")" + (self.back() == '1' || secondHostsDurable ? "unused" : "") + R"(","hosts":[)" + hosts + R"(],"limits":{"snapshotEveryEntries":200}})";
+    const std::string text = R"({"cluster":"bench","host":")" + self + R"(","dataFolder":")" + (self.back() == '1' || secondHostsDurable ? "unused" : "")
+        + R"(","hosts":[)" + hosts + R"(],"limits":{"snapshotEveryEntries":200}})";
     std::vector<config::FieldError> errors;
     return *config::parseSettings(text, errors);
 }
@@ -39,7 +39,8 @@
     const std::string common = R"(","team":"t","home":")" + home + R"(","cpuMillis":1000,"memoryMb":100)";
     return R"({"teams":[{"name":"t"}],"services":[)"
            R"({"name":"idem)"
-        + common + R"(,"kind":"batch","attempts":50,"retryPercent":100},{"name":"once)" + common + R"(,"kind":"batch","idempotent":false},{"name":"gang)"
+        + common + R"(,"kind":"batch","attempts":50,"retryPercent":100},{"name":"spill)" + common
+        + R"(,"kind":"batch","idempotent":false,"spill":true,"attempts":50},{"name":"once)" + common + R"(,"kind":"batch","idempotent":false},{"name":"gang)"
         + common + R"(,"kind":"gang","attempts":50,"retryPercent":100}]})";
 }
 
@@ -107,7 +108,8 @@
             });
         }
     }
-    host.host = std::make_unique<control::Host>(control::makeHost(makeSettings(host.id, m_centres, m_secondHostsDurable), host.incarnation, disk, m_random(), now()));
+    host.host
+        = std::make_unique<control::Host>(control::makeHost(makeSettings(host.id, m_centres, m_secondHostsDurable), host.incarnation, disk, m_random(), now()));
     std::erase_if(m_toldPeers, [&host](const auto &told) {
         return told.first.first == host.id;
     });
@@ -612,6 +614,7 @@
         worker.paused = false;
         worker.onlyEntry.clear();
         worker.runMs = shortRunMs;
+        worker.leaving = false;
     }
 }
 
--- a/Tests/fakes/bench.h
+++ b/Tests/fakes/bench.h
@@ -60,7 +60,8 @@
 public:
     /** @param seed of all random choices. @param defects planted faults. @param centres data centres of two hosts each. @param workersPerCentre workers in
      * each. */
-    explicit Bench(std::uint64_t seed, const PlantedDefects &defects = {}, std::size_t centres = 3, std::size_t workersPerCentre = 3, bool secondHostsDurable = true);
+    explicit Bench(std::uint64_t seed, const PlantedDefects &defects = {}, std::size_t centres = 3, std::size_t workersPerCentre = 3,
+                   bool secondHostsDurable = true);
 
     /** Advances the clock in small steps and checks the invariants after each. @param milliseconds how far. */
     void run(std::uint64_t milliseconds);
--- a/Tests/fakes/cellbench.cpp
+++ b/Tests/fakes/cellbench.cpp
@@ -36,6 +36,9 @@
     for (control::TokenReply &reply : output.replies) {
         replies[reply.token] = std::move(reply.reply);
     }
+    for (control::SpillCall &spill : output.spills) {
+        spills.push_back(std::move(spill));
+    }
     for (control::StartOrder &start : output.starts) {
         held[start.worker][start.task] = start.attempt;
         starts.push_back(std::move(start));
@@ -147,6 +150,13 @@
     return send(request);
 }
 
+void CellBench::takeSpillReply(const control::SpillCall &call, const wire::ReplyT &reply)
+{
+    control::CellOutput output;
+    control::handleSpillReply(cell, call, reply, now, output);
+    take(std::move(output));
+}
+
 void CellBench::run(std::uint64_t milliseconds)
 {
     constexpr std::uint64_t tickMs = 20;
--- a/Tests/fakes/cellbench.h
+++ b/Tests/fakes/cellbench.h
@@ -27,6 +27,8 @@
     void announceAll();
     /** Hands in the end of a task. @param order its start. @param failed whether it failed. @return names the answer. */
     control::Token finishTask(const control::StartOrder &order, bool failed = false);
+    /** Hands in the answer of another data centre. @param call the call. @param reply the answer. */
+    void takeSpillReply(const control::SpillCall &call, const wire::ReplyT &reply);
     /** Lets time pass in ticks, announcing all workers each second. @param milliseconds how long. */
     void run(std::uint64_t milliseconds);
     /** Puts another document in force. @param document the document. */
@@ -46,6 +48,7 @@
     std::map<std::string, std::uint64_t> numbers;
     std::map<std::string, std::map<model::TaskId, std::uint32_t>> held; ///< Attempts by worker.
     std::vector<control::StartOrder> starts; ///< All orders so far.
+    std::vector<control::SpillCall> spills; ///< All calls to other data centres so far.
     std::map<control::Token, wire::ReplyT> replies;
     control::Token nextToken = 1;
 
--- a/Tests/fakes/invariants.cpp
+++ b/Tests/fakes/invariants.cpp
@@ -40,11 +40,15 @@
 
 void Invariants::noteBegan(const BenchRun &run)
 {
-    const std::uint64_t begins = ++m_begun[run.key][run.task];
+    // A task that another data centre runs has another number there, and one caller's key.
+    const std::uint64_t begins = ++m_begun[run.key][run.spec.originKey.empty() ? run.task : 0];
     if (!run.spec.idempotent && begins > 1) {
         add("non-idempotent task ran more than once: " + taskName(run.key, run.task));
     }
-    if (m_begun[run.key].size() > std::max<std::size_t>(run.spec.gangSize, 1)) {
+    if (!run.spec.idempotent && run.spec.gangSize <= 1 && begun(run.key) > 1) {
+        add("non-idempotent task ran more than once: " + run.key);
+    }
+    if (m_begun[run.key].count(0) == 0 && m_begun[run.key].size() > std::max<std::size_t>(run.spec.gangSize, 1)) {
         add("one key was accepted twice: " + run.key);
     }
     if (m_toldNotRun.count(taskName(run.key, run.task)) > 0) {
@@ -61,7 +65,9 @@
     if (view.outcome == wire::Outcome::NotRun) {
         m_toldNotRun.insert(name);
         // Runs of earlier attempts are allowed for idempotent work only, and then the outcome is not "not run".
-        if (m_begun[view.key][view.task] > 0) {
+        const auto &begun = m_begun[view.key];
+        const auto here = begun.find(view.task);
+        if ((here != begun.end() && here->second > 0) || begun.count(0) > 0) {
             add("told not-run, but had run: " + name);
         }
     }
--- a/Tests/policy/policy.cpp
+++ b/Tests/policy/policy.cpp
@@ -3,6 +3,7 @@
 #include "policy/placement.h"
 #include "policy/quarantine.h"
 #include "policy/retry.h"
+#include "policy/spill.h"
 #include "testing.h"
 
 #include <map>
@@ -181,6 +182,15 @@
     }
 }
 
+TEST_CASE(Spill, ChargesForBilledTraffic)
+{
+    const policy::SpillPolicy policy;
+    CHECK(!policy::isWorthSpilling(policy, policy.leastWaitMs - 1, 0));
+    CHECK(policy::isWorthSpilling(policy, policy.leastWaitMs, 0));
+    CHECK(!policy::isWorthSpilling(policy, policy.leastWaitMs, 1024 * 1024));
+    CHECK(policy::isWorthSpilling(policy, policy.leastWaitMs + 1024 * 20, 1024 * 1024));
+}
+
 TEST_CASE(Retry, BackOffGrowsToItsCapWithFullJitter)
 {
     const policy::RetryPolicy policy;
--- a/Tests/transport/peernetwork.cpp
+++ b/Tests/transport/peernetwork.cpp
@@ -38,7 +38,8 @@
 }
 
 /** Collects what a network tells, and waits for it without a bound of its own; CTest's bound ends a hanging case. */
-struct Listener {
+struct Listener
+{
     transport::PeerHandlers handlers()
     {
         transport::PeerHandlers result;
--- a/Tests/transport/requestjson.cpp
+++ b/Tests/transport/requestjson.cpp
@@ -9,7 +9,8 @@
 using namespace rosemaryturn;
 using model::Reason;
 
-struct Row {
+struct Row
+{
     std::string body;
     std::string pointer;
     Reason reason;
