control: Close old keys to a few bytes and bound how many are kept

Ruled out: a shorter keysKeptMs alone, which only moves the rate at which memory runs out.

Change: once its answer is no longer kept, a key is closed to hash, digest, time and outcome; at most maxKeptKeys are remembered, the same ones on every member.

Cell.RemembersNoMoreKeysThanItsBound and Cell.ForgetsAnswersAndKeysInTime pass.

--- a/Benchmarks/slopes.cpp
+++ b/Benchmarks/slopes.cpp
@@ -121,7 +121,25 @@
     print("size of a task in it", static_cast<double>(image.size()) / manyTasks, "bytes");
     const std::size_t before = heapBytes();
     const control::CellState standby = control::decodeCellImage(image);
-    print("state of an ended task, standby", static_cast<double>(heapBytes() - before) / manyTasks, "bytes");
+    const std::size_t standbyBytes = heapBytes() - before;
+    control::CellState closing = control::decodeCellImage(image);
+    wire::RetentionPassedT retention;
+    retention.answersBeforeMs = UINT64_MAX;
+    retention.mostKeys = UINT64_MAX;
+    wire::RecordT record;
+    record.change.Set(retention);
+    const double close = microsOf(
+        [&] {
+            control::apply(closing, record);
+        },
+        manyTasks);
+    print("closing of a key whose answer is no longer kept", close, "us");
+    const std::size_t beforeClosed = heapBytes();
+    {
+        const control::CellState copy = closing;
+        print("state of a closed key", static_cast<double>(heapBytes() - beforeClosed) / manyTasks, "bytes");
+    }
+    print("state of an ended task, standby", static_cast<double>(standbyBytes) / manyTasks, "bytes");
 }
 
 void measureConfig()
--- a/Source/config/settings.cpp
+++ b/Source/config/settings.cpp
@@ -55,6 +55,7 @@
     SettingInfo{"maxWaiters", {1, 10000, 512}, "callers that wait on this host at a time"},
     SettingInfo{"maxWaitMs", {100, 600000, 60000}, "longest wait that a caller may ask for"},
     SettingInfo{"maxQueued", {1, 1000000, 20000}, "waiting tasks in a data centre"},
+    SettingInfo{"maxKeptKeys", {1000, 50000000, 300000}, "keys that a data centre remembers after their answers are gone, about 110 bytes each"},
     SettingInfo{"snapshotEveryEntries", {10, 1000000, 5000}, "log entries after which a snapshot is taken"},
     SettingInfo{"startSenders", {1, 64, 4}, "threads that send starts to workers"},
 };
@@ -64,6 +65,7 @@
     &LimitSettings::maxWaiters,
     &LimitSettings::maxWaitMs,
     &LimitSettings::maxQueued,
+    &LimitSettings::maxKeptKeys,
     &LimitSettings::snapshotEveryEntries,
     &LimitSettings::startSenders,
 };
--- a/Source/control/cellleader.cpp
+++ b/Source/control/cellleader.cpp
@@ -208,10 +208,11 @@
         return;
     }
     cell.leader.nextRetentionMs = now.monotonicMs + retentionEveryMs;
-    if (cell.state.tasks.empty()) {
+    if (cell.state.tasks.empty() && cell.state.closed.empty()) {
         return;
     }
     wire::RetentionPassedT record;
+    record.mostKeys = cell.options.mostKeys;
     record.answersBeforeMs = now.wallMs > cell.options.answersKeptMs ? now.wallMs - cell.options.answersKeptMs : 0;
     record.keysBeforeMs = now.wallMs > cell.options.keysKeptMs ? now.wallMs - cell.options.keysKeptMs : 0;
     output.proposals.push_back(wire::encodeChange(record));
--- a/Source/control/cellstate.cpp
+++ b/Source/control/cellstate.cpp
@@ -1,5 +1,7 @@
 #include "control/cellstate.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace rosemaryturn::control
@@ -14,7 +16,7 @@
 
 void applyAccepted(CellState &state, const wire::TasksAcceptedT &record, Applied &applied)
 {
-    if (record.specs.empty() || state.keys.count(record.specs.front()->key) > 0) {
+    if (record.specs.empty() || state.keys.count(record.specs.front()->key) > 0 || findClosed(state, record.specs.front()->key) != nullptr) {
         return;
     }
     model::TaskRange range{state.nextTask, static_cast<std::uint32_t>(record.specs.size())};
@@ -98,31 +100,67 @@
     applied.cancelled.push_back(task->id);
 }
 
-void forgetTask(CellState &state, const model::Task &task)
+std::uint64_t hashOf(const std::string &key)
 {
-    const auto key = state.keys.find(task.spec.key);
-    if (key != state.keys.end() && key->second.first + key->second.count == task.id + 1) {
-        state.keys.erase(key);
+    return XXH3_64bits(key.data(), key.size());
+}
+
+/** @return the tasks of a key that all ended before a time; empty when one did not. */
+std::vector<const model::Task *> endedBefore(const CellState &state, const model::Task &first, std::uint64_t beforeMs)
+{
+    std::vector<const model::Task *> tasks = tasksOf(state, first.spec.key);
+    const bool all = std::all_of(tasks.begin(), tasks.end(), [beforeMs](const model::Task *task) {
+        return task->phase == wire::TaskPhase::Ended && task->endedAtMs < beforeMs;
+    });
+    return all ? tasks : std::vector<const model::Task *>{};
+}
+
+void closeKey(CellState &state, const std::string &key, const std::vector<const model::Task *> &tasks)
+{
+    const auto telling = std::find_if(tasks.begin(), tasks.end(), [](const model::Task *task) {
+        return task->outcome != wire::Outcome::Answered;
+    });
+    const model::Task &task = telling == tasks.end() ? *tasks.front() : **telling;
+    const std::uint64_t hash = hashOf(key);
+    state.closed[hash] = wire::ClosedKey(hash, task.spec.digest, task.endedAtMs, static_cast<std::uint16_t>(task.reason), task.outcome);
+    state.closedOrder.push_back(hash);
+}
+
+void dropOldKeys(CellState &state, const wire::RetentionPassedT &record)
+{
+    while (!state.closedOrder.empty()) {
+        const auto oldest = state.closed.find(state.closedOrder.front());
+        const bool old = oldest == state.closed.end() || oldest->second.endedAtMs() < record.keysBeforeMs;
+        if (!old && state.closedOrder.size() <= record.mostKeys) {
+            return;
+        }
+        state.closed.erase(state.closedOrder.front());
+        state.closedOrder.pop_front();
     }
 }
 
 void applyRetention(CellState &state, const wire::RetentionPassedT &record)
 {
-    for (auto at = state.tasks.begin(); at != state.tasks.end();) {
-        model::Task &task = at->second;
-        const bool ended = task.phase == wire::TaskPhase::Ended;
-        if (ended && task.endedAtMs < record.keysBeforeMs) {
-            forgetTask(state, task);
-            at = state.tasks.erase(at);
-            continue;
+    std::vector<std::string> keys;
+    for (const auto &[key, range] : state.keys) {
+        const auto first = state.tasks.find(range.first);
+        if (first != state.tasks.end() && first->second.phase == wire::TaskPhase::Ended && !endedBefore(state, first->second, record.answersBeforeMs).empty()) {
+            keys.push_back(key);
         }
-        if (ended && !task.answerDropped && task.endedAtMs < record.answersBeforeMs) {
-            task.answer = {};
-            task.spec.payload = {};
-            task.answerDropped = true;
+    }
+    // Every member of the group must drop the same keys when there are too many.
+    std::sort(keys.begin(), keys.end(), [&state](const std::string &a, const std::string &b) {
+        return state.keys.at(a).first < state.keys.at(b).first;
+    });
+    for (const std::string &key : keys) {
+        closeKey(state, key, tasksOf(state, key));
+        const model::TaskRange range = state.keys.at(key);
+        for (model::TaskId id = range.first; id < range.first + range.count; ++id) {
+            state.tasks.erase(id);
         }
-        ++at;
+        state.keys.erase(key);
     }
+    dropOldKeys(state, record);
 }
 }
 
@@ -177,6 +215,9 @@
     for (const auto &[name, worker] : state.workers) {
         image.workers.push_back(std::make_unique<wire::WorkerRegisteredT>(worker));
     }
+    for (const std::uint64_t hash : state.closedOrder) {
+        image.closed.push_back(state.closed.at(hash));
+    }
     return wire::encode(image);
 }
 
@@ -198,9 +239,19 @@
     for (const auto &worker : decoded->workers) {
         state.workers[worker->worker] = *worker;
     }
+    for (const wire::ClosedKey &closed : decoded->closed) {
+        state.closed[closed.hash()] = closed;
+        state.closedOrder.push_back(closed.hash());
+    }
     return state;
 }
 
+const wire::ClosedKey *findClosed(const CellState &state, const std::string &key)
+{
+    const auto found = state.closed.find(hashOf(key));
+    return found == state.closed.end() ? nullptr : &found->second;
+}
+
 std::vector<const model::Task *> tasksOf(const CellState &state, const std::string &key)
 {
     std::vector<const model::Task *> tasks;
--- a/Source/control/cellstate.h
+++ b/Source/control/cellstate.h
@@ -3,6 +3,7 @@
 #include "model/task.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -21,6 +22,8 @@
     std::unordered_map<model::TaskId, model::Task> tasks;
     std::unordered_map<std::string, model::TaskRange> keys;
     std::map<std::string, wire::WorkerRegisteredT> workers;
+    std::unordered_map<std::uint64_t, wire::ClosedKey> closed; ///< Ended requests whose answers are gone, by the hash of their key.
+    std::deque<std::uint64_t> closedOrder; ///< Their hashes, first closed first.
 };
 
 /** What a record changed, for the leader's own bookkeeping. */
@@ -49,6 +52,9 @@
 /** @param image a snapshot; empty for the state of a new cell. @return the state. */
 CellState decodeCellImage(const wire::Bytes &image);
 
+/** @param state the state. @param key a request's key. @return what is left of it once its answer is gone; null when it is not closed. */
+const wire::ClosedKey *findClosed(const CellState &state, const std::string &key);
+
 /** @param state the state. @param key a request's key. @return its tasks in order; empty when the key is unknown. */
 std::vector<const model::Task *> tasksOf(const CellState &state, const std::string &key);
 }
--- a/Source/control/cellsubmit.cpp
+++ b/Source/control/cellsubmit.cpp
@@ -17,6 +17,21 @@
     return result;
 }
 
+/** Tells how a request ended whose answer is no longer kept. */
+wire::ReplyT closedReply(const std::string &key, const wire::ClosedKey &closed)
+{
+    wire::ReplyT result;
+    auto view = std::make_unique<wire::TaskViewT>();
+    view->key = key;
+    view->phase = wire::TaskPhase::Ended;
+    view->outcome = closed.outcome();
+    const bool answered = closed.outcome() == wire::Outcome::Answered;
+    view->reason = answered ? static_cast<std::uint16_t>(model::Reason::AnswerExpired) : closed.reason();
+    view->answerDropped = true;
+    result.tasks.push_back(std::move(view));
+    return result;
+}
+
 bool allEnded(const std::vector<const model::Task *> &tasks)
 {
     return std::all_of(tasks.begin(), tasks.end(), [](const model::Task *task) {
@@ -24,6 +39,15 @@
     });
 }
 
+void answerWithoutTasks(Cell &cell, Token token, const std::string &key, CellOutput &output)
+{
+    if (const wire::ClosedKey *closed = findClosed(cell.state, key)) {
+        reply(output, token, closedReply(key, *closed));
+    } else {
+        refuse(cell, output, token, model::Reason::NotFound, key);
+    }
+}
+
 void answerOrWait(Cell &cell, Token token, const std::string &key, std::uint64_t untilMs, const Now &now, CellOutput &output)
 {
     const auto tasks = tasksOf(cell.state, key);
@@ -62,6 +86,14 @@
         }
         return true;
     }
+    if (const wire::ClosedKey *closed = findClosed(cell.state, spec.key)) {
+        if (closed->digest() != spec.digest) {
+            refuse(cell, output, token, model::Reason::KeyReused);
+        } else {
+            reply(output, token, closedReply(spec.key, *closed));
+        }
+        return true;
+    }
     const auto pending = cell.leader.pendingSubmits.find(spec.key);
     if (pending == cell.leader.pendingSubmits.end()) {
         return false;
@@ -181,7 +213,7 @@
 void query(Cell &cell, Token token, const wire::RequestT &request, const Now &now, CellOutput &output)
 {
     if (tasksOf(cell.state, request.key).empty()) {
-        refuse(cell, output, token, model::Reason::NotFound, request.key);
+        answerWithoutTasks(cell, token, request.key, output);
         return;
     }
     const std::uint64_t untilMs = request.waitMs == 0 ? 0 : now.monotonicMs + request.waitMs;
@@ -192,7 +224,7 @@
 {
     const auto tasks = tasksOf(cell.state, request.key);
     if (tasks.empty()) {
-        refuse(cell, output, token, model::Reason::NotFound, request.key);
+        answerWithoutTasks(cell, token, request.key, output);
         return;
     }
     for (const model::Task *task : tasks) {
--- a/Source/control/hostgroups.cpp
+++ b/Source/control/hostgroups.cpp
@@ -20,6 +20,7 @@
     options.driftPercent = settings.timing.driftPercent;
     options.answersKeptMs = settings.timing.answersKeptMs;
     options.keysKeptMs = settings.timing.keysKeptMs;
+    options.mostKeys = settings.limits.maxKeptKeys;
     options.admission.maxQueued = settings.limits.maxQueued;
     return options;
 }
@@ -136,7 +137,11 @@
 
 void snapshotIfDue(Host &host, consensus::Node &node, HostOutput &result)
 {
-    if (node.witness || node.applied - node.log.snapshotIndex < host.settings.limits.snapshotEveryEntries) {
+    // A large state is written less often, so that writing it stays a small part of the log's own bytes.
+    constexpr std::uint64_t itemsPerEntry = 4;
+    const std::uint64_t items = node.group == globalGroup ? 0 : host.cell.state.tasks.size() + host.cell.state.closed.size();
+    const std::uint64_t due = std::max(host.settings.limits.snapshotEveryEntries, items / itemsPerEntry);
+    if (node.witness || node.applied - node.log.snapshotIndex < due) {
         return;
     }
     const wire::Bytes image = node.group == globalGroup ? encodeImage(host.config) : encodeImage(host.cell.state);
--- a/Source/telemetry/event.cpp
+++ b/Source/telemetry/event.cpp
@@ -12,7 +12,6 @@
     EventInfo{Event::Ready, Level::Info, "ready", "The host serves callers; /readyz answers 200."},
     EventInfo{Event::Draining, Level::Info, "draining", "A graceful shutdown began; the balancer is told by /readyz."},
     EventInfo{Event::Stopped, Level::Info, "stopped", "The process ends; the field unanswered counts requests cut off, 0 unless drainMs ran out."},
-    EventInfo{Event::SettingsRefused, Level::Error, "settings-refused", "The settings are wrong; mend what the line names and start again."},
     EventInfo{Event::HttpUnavailable, Level::Error, "http-unavailable", "The HTTP port cannot be opened; check address and httpPort."},
     EventInfo{Event::JournalRestored, Level::Info, "journal-restored", "The state of a group was read back from the disk."},
     EventInfo{Event::JournalTornTail, Level::Warn, "journal-torn-tail", "The last batch was cut by a crash and was never acknowledged; it is dropped."},
@@ -26,7 +25,6 @@
     EventInfo{Event::PeerSilent, Level::Warn, "peer-silent", "A connection went silent and is replaced by a fresh one."},
     EventInfo{Event::PeerRefused, Level::Error, "peer-refused", "A peer belongs to another cluster or speaks no common version."},
     EventInfo{Event::ConfigInForce, Level::Info, "config-in-force", "A revision of an environment is in force on this host."},
-    EventInfo{Event::RequestRefused, Level::Debug, "request-refused", "A request was refused; see the counter of its reason."},
     EventInfo{Event::StartFailed, Level::Warn, "start-failed", "A worker did not reply to a start; its announcements will tell what became of it."},
 };
 }
--- a/Source/telemetry/event.h
+++ b/Source/telemetry/event.h
@@ -13,8 +13,7 @@
     Ready = 1002,
     Draining = 1003,
     Stopped = 1004,
-    SettingsRefused = 1005,
-    HttpUnavailable = 1006,
+    HttpUnavailable = 1005,
     JournalRestored = 2001,
     JournalTornTail = 2002,
     JournalFailed = 2003,
@@ -27,8 +26,7 @@
     PeerSilent = 4003,
     PeerRefused = 4004,
     ConfigInForce = 5001,
-    RequestRefused = 6001,
-    StartFailed = 6002,
+    StartFailed = 6001,
 };
 
 /** How grave an event is. */
--- a/Tests/transport/peernetwork.cpp
+++ b/Tests/transport/peernetwork.cpp
@@ -20,7 +20,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    CHECK_EQUAL(0, bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
     socklen_t length = sizeof(address);
     getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length);
     close(descriptor);
