control: Bound kept answers, keep late results of unknown ends, split bookkeeping

(1) Answers were bounded by time only. (2) A worker that came back with the result of an attempt of unknown fate was told to stop it and dropped the result.

Change: maxKeptAnswers; no action for such an attempt; cellbookkeeping.cpp.

Seen failing first: the new check in Cell.LostNonIdempotentWorkIsUnknownUntilTheWorkerTells was written with the change and not seen failing; the stop it forbids is in the code before this commit.

--- a/Benchmarks/slopes.cpp
+++ b/Benchmarks/slopes.cpp
@@ -126,6 +126,7 @@
     wire::RetentionPassedT retention;
     retention.answersBeforeMs = UINT64_MAX;
     retention.mostKeys = UINT64_MAX;
+    retention.mostAnswers = UINT64_MAX;
     wire::RecordT record;
     record.change.Set(retention);
     const double close = microsOf(
--- a/Source/config/settings.h
+++ b/Source/config/settings.h
@@ -48,6 +48,7 @@
     std::uint64_t maxWaiters = 0;
     std::uint64_t maxWaitMs = 0;
     std::uint64_t maxQueued = 0;
+    std::uint64_t maxKeptAnswers = 0;
     std::uint64_t maxKeptKeys = 0;
     std::uint64_t snapshotEveryEntries = 0;
     std::uint64_t startSenders = 0;
--- a/Source/control/cell.h
+++ b/Source/control/cell.h
@@ -41,6 +41,7 @@
     std::uint64_t driftPercent = 5;
     std::uint64_t answersKeptMs = 600000;
     std::uint64_t keysKeptMs = 86400000;
+    std::uint64_t mostAnswers = 30000; ///< Ended requests that keep their answers.
     std::uint64_t mostKeys = 300000; ///< Keys remembered after their answers are gone.
     std::uint64_t gangPatienceMs = 2000; ///< Wait after which a gang reserves workers.
     std::uint64_t gangReservationMs = 30000; ///< Longest reservation.
--- a/Source/control/cellinternal.h
+++ b/Source/control/cellinternal.h
@@ -13,7 +13,7 @@
     Lost, ///< It certainly does not run any more; whether it did its work is not known.
 };
 
-// cellleader.cpp
+// cellbookkeeping.cpp
 void wakeQueued(Cell &cell, model::TaskId id, const Now &now);
 void occupyWorker(Cell &cell, const model::Task &task, LiveTask &live, policy::WorkerIndex worker);
 void releaseWorker(Cell &cell, const model::Task &task, LiveTask &live);
--- a/Source/control/cellleader.cpp
+++ b/Source/control/cellleader.cpp
@@ -213,103 +213,13 @@
     }
     wire::RetentionPassedT record;
     record.mostKeys = cell.options.mostKeys;
+    record.mostAnswers = cell.options.mostAnswers;
     record.answersBeforeMs = now.wallMs > cell.options.answersKeptMs ? now.wallMs - cell.options.answersKeptMs : 0;
     record.keysBeforeMs = now.wallMs > cell.options.keysKeptMs ? now.wallMs - cell.options.keysKeptMs : 0;
     output.proposals.push_back(wire::encodeChange(record));
 }
 }
 
-namespace internal
-{
-LiveTask &adoptTask(Cell &cell, const model::Task &task, const Now &now)
-{
-    LiveTask &live = cell.leader.live[task.id];
-    live.need = needFor(cell, task.spec);
-    live.acceptedMs = now.monotonicMs;
-    if (task.spec.queueMs > 0 && task.phase == wire::TaskPhase::Queued) {
-        cell.leader.queueDeadlines.emplace(now.monotonicMs + task.spec.queueMs, task.id);
-    }
-    noteInstance(cell, task);
-    return live;
-}
-
-void wakeQueued(Cell &cell, model::TaskId id, const Now &now)
-{
-    const auto found = cell.state.tasks.find(id);
-    if (found == cell.state.tasks.end()) {
-        return;
-    }
-    // A gang queues by its first member that has not ended, once all of them wait.
-    const model::Task *representative = nullptr;
-    for (const model::Task *member : tasksOf(cell.state, found->second.spec.key)) {
-        if (member->phase == wire::TaskPhase::Ended) {
-            continue;
-        }
-        const auto live = cell.leader.live.find(member->id);
-        if (member->phase == wire::TaskPhase::Dispatched || live == cell.leader.live.end() || live->second.placing || live->second.ending
-            || live->second.ticket != 0 || live->second.delayedUntilMs > now.monotonicMs) {
-            return;
-        }
-        representative = representative == nullptr ? member : representative;
-    }
-    if (representative == nullptr) {
-        return;
-    }
-    LiveTask &live = cell.leader.live.at(representative->id);
-    const wire::TaskSpecT &spec = representative->spec;
-    live.ticket = policy::enqueue(cell.leader.queue, spec.team, spec.service, representative->id, spec.urgent);
-    cell.leader.scheduleNeeded = true;
-}
-
-void leaveQueue(Cell &cell, const model::Task &task, LiveTask &live)
-{
-    if (live.ticket != 0) {
-        policy::forget(cell.leader.queue, task.spec.team);
-        live.ticket = 0;
-    }
-}
-
-void occupyWorker(Cell &cell, const model::Task &task, LiveTask &live, policy::WorkerIndex worker)
-{
-    live.worker = worker;
-    live.occupying = true;
-    policy::occupy(cell.leader.pool, worker, live.need);
-    policy::charge(cell.leader.queue, task.spec.team, live.need);
-    cell.leader.workers[worker].tasks.insert(task.id);
-    ++cell.leader.runningOf[task.spec.service];
-    auto &spread = cell.leader.spread[task.spec.service];
-    ++spread["rack:" + cell.leader.pool.workers[worker].rack];
-    ++spread[cell.leader.pool.workers[worker].id];
-}
-
-void releaseWorker(Cell &cell, const model::Task &task, LiveTask &live)
-{
-    if (!live.occupying) {
-        return;
-    }
-    live.occupying = false;
-    policy::vacate(cell.leader.pool, live.worker, live.need);
-    policy::discharge(cell.leader.queue, task.spec.team, live.need);
-    cell.leader.workers[live.worker].tasks.erase(task.id);
-    --cell.leader.runningOf[task.spec.service];
-    auto &spread = cell.leader.spread[task.spec.service];
-    --spread["rack:" + cell.leader.pool.workers[live.worker].rack];
-    --spread[cell.leader.pool.workers[live.worker].id];
-    live.need = needFor(cell, task.spec);
-    cell.leader.scheduleNeeded = true;
-}
-
-policy::WorkerIndex takeWorkerUp(Cell &cell, const wire::WorkerRegisteredT &shape)
-{
-    const policy::WorkerIndex index = policy::upsertWorker(cell.leader.pool, shape.worker, shape.rack, model::offerOf(shape));
-    if (cell.leader.workers.size() <= index) {
-        cell.leader.workers.resize(index + 1);
-    }
-    policy::setTotal(cell.leader.queue, cell.leader.pool.totalOffer);
-    return index;
-}
-}
-
 void beginLeading(Cell &cell, std::uint64_t term, const Now &now, CellOutput &output)
 {
     cell.leader = Leader{};
--- a/Source/control/cellstate.cpp
+++ b/Source/control/cellstate.cpp
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace rosemaryturn::control
 {
@@ -105,14 +107,17 @@
     return XXH3_64bits(key.data(), key.size());
 }
 
-/** @return the tasks of a key that all ended before a time; empty when one did not. */
-std::vector<const model::Task *> endedBefore(const CellState &state, const model::Task &first, std::uint64_t beforeMs)
+/** @return when the last task of a key ended; nothing while one has not. */
+std::optional<std::uint64_t> endOf(const std::vector<const model::Task *> &tasks)
 {
-    std::vector<const model::Task *> tasks = tasksOf(state, first.spec.key);
-    const bool all = std::all_of(tasks.begin(), tasks.end(), [beforeMs](const model::Task *task) {
-        return task->phase == wire::TaskPhase::Ended && task->endedAtMs < beforeMs;
-    });
-    return all ? tasks : std::vector<const model::Task *>{};
+    std::uint64_t endedAtMs = 0;
+    for (const model::Task *task : tasks) {
+        if (task->phase != wire::TaskPhase::Ended) {
+            return std::nullopt;
+        }
+        endedAtMs = std::max(endedAtMs, task->endedAtMs);
+    }
+    return endedAtMs;
 }
 
 void closeKey(CellState &state, const std::string &key, const std::vector<const model::Task *> &tasks)
@@ -141,18 +146,16 @@
 
 void applyRetention(CellState &state, const wire::RetentionPassedT &record)
 {
-    std::vector<std::string> keys;
+    std::vector<std::pair<std::uint64_t, std::string>> ended; // Sorted, so that every member of the group closes the same keys.
     for (const auto &[key, range] : state.keys) {
-        const auto first = state.tasks.find(range.first);
-        if (first != state.tasks.end() && first->second.phase == wire::TaskPhase::Ended && !endedBefore(state, first->second, record.answersBeforeMs).empty()) {
-            keys.push_back(key);
+        if (const auto endedAtMs = endOf(tasksOf(state, key))) {
+            ended.emplace_back(*endedAtMs, key);
         }
     }
-    // Every member of the group must drop the same keys when there are too many.
-    std::sort(keys.begin(), keys.end(), [&state](const std::string &a, const std::string &b) {
-        return state.keys.at(a).first < state.keys.at(b).first;
-    });
-    for (const std::string &key : keys) {
+    std::sort(ended.begin(), ended.end());
+    const std::size_t excess = ended.size() > record.mostAnswers ? ended.size() - record.mostAnswers : 0;
+    for (std::size_t i = 0; i < ended.size() && (i < excess || ended[i].first < record.answersBeforeMs); ++i) {
+        const std::string &key = ended[i].second;
         closeKey(state, key, tasksOf(state, key));
         const model::TaskRange range = state.keys.at(key);
         for (model::TaskId id = range.first; id < range.first + range.count; ++id) {
--- a/Source/control/cellworkers.cpp
+++ b/Source/control/cellworkers.cpp
@@ -35,9 +35,6 @@
 
 wire::TaskAction actionFor(const LiveTask &live)
 {
-    if (live.stopReason == model::Reason::Preempted && live.correction == policy::Correction::None) {
-        return wire::TaskAction::Stop;
-    }
     if (live.stopReason != model::Reason::None || live.correction == policy::Correction::Stop) {
         return wire::TaskAction::Stop;
     }
@@ -93,6 +90,12 @@
     return task.phase == wire::TaskPhase::Dispatched && task.attempt == report.attempt && task.worker == shape.worker && task.incarnation == shape.incarnation;
 }
 
+/** @return whether the worker's result can still resolve an attempt of unknown fate; a stop would make it drop the result. */
+bool mayStillTell(const model::Task &task, const wire::RunningTaskT &report, const wire::WorkerRegisteredT &shape)
+{
+    return task.phase == wire::TaskPhase::Ended && task.outcome == wire::Outcome::Unknown && task.attempt == report.attempt && task.worker == shape.worker;
+}
+
 void takeRunning(Cell &cell, const wire::AnnouncementT &announcement, const Now &now, wire::ReplyT &reply)
 {
     for (const auto &report : announcement.running) {
@@ -103,6 +106,9 @@
             renew(cell, task->second, live->second, *report, announcement.number, now, reply);
             continue;
         }
+        if (task != cell.state.tasks.end() && mayStillTell(task->second, *report, *announcement.shape)) {
+            continue;
+        }
         wire::RunningTaskT stop = *report;
         stop.action = wire::TaskAction::Stop;
         reply.actions.push_back(std::make_unique<wire::RunningTaskT>(stop));
--- a/Source/control/hostgroups.cpp
+++ b/Source/control/hostgroups.cpp
@@ -20,6 +20,7 @@
     options.driftPercent = settings.timing.driftPercent;
     options.answersKeptMs = settings.timing.answersKeptMs;
     options.keysKeptMs = settings.timing.keysKeptMs;
+    options.mostAnswers = settings.limits.maxKeptAnswers;
     options.mostKeys = settings.limits.maxKeptKeys;
     options.admission.maxQueued = settings.limits.maxQueued;
     return options;
--- a/Tests/control/cell.cpp
+++ b/Tests/control/cell.cpp
@@ -138,6 +138,11 @@
     CHECK(bench.task("k").outcome == Outcome::Unknown);
     CHECK(bench.task("k").reason == Reason::LeaseExpired);
     bench.shapes = shapes;
+    wire::RunningTaskT ended;
+    ended.task = bench.starts[0].task;
+    ended.attempt = bench.starts[0].attempt;
+    const control::Token back = bench.announce("w", {ended});
+    CHECK(bench.replies[back].actions.empty()); // A stop would make the worker drop its result.
     bench.finishTask(bench.starts[0]);
     CHECK(bench.task("k").outcome == Outcome::Answered);
 }
@@ -484,6 +489,23 @@
     CHECK(bench.cell.state.keys.empty());
 }
 
+TEST_CASE(Cell, KeepsNoMoreAnswersThanItsBound)
+{
+    CellBench bench(plainDocument);
+    bench.cell.options.mostAnswers = 5;
+    bench.addWorker("w", worker);
+    for (int i = 0; i < 20; ++i) {
+        bench.submit("once", "k" + std::to_string(i));
+        bench.run(200);
+        bench.finishTask(bench.starts.back());
+    }
+    bench.run(60000);
+    CHECK_EQUAL(std::size_t{5}, bench.cell.state.tasks.size());
+    CHECK_EQUAL(std::size_t{15}, bench.cell.state.closed.size());
+    CHECK(bench.task("k19").outcome == Outcome::Answered);
+    CHECK(control::findClosed(bench.cell.state, "k0@dc1") != nullptr);
+}
+
 TEST_CASE(Cell, RemembersNoMoreKeysThanItsBound)
 {
     CellBench bench(plainDocument);
