control: Give workers time to announce themselves to a new leader

A new leader took its workers as silent since time 0 of the clock; on a machine up for longer than ten minutes it forgot idle ones at once, and a pool whose workers were all forgotten refused everything for good.

Ruled out: lost registrations (they are replicated) and the document (it was in force).

Change: a worker's silence counts from when this leader could hear it; with nobody registered nothing is known to be too large.

Seen failing first: Cell.NewLeaderGivesIdleWorkersTimeToAnnounceThemselves (expected 1 worker, got 0).

--- a/Source/control/cellleader.cpp
+++ b/Source/control/cellleader.cpp
@@ -230,7 +230,9 @@
     ++cell.metrics.elections;
     setTeams(cell);
     for (const auto &[name, shape] : cell.state.workers) {
-        cell.leader.workers[takeWorkerUp(cell, shape)].incarnation = shape.incarnation;
+        LiveWorker &worker = cell.leader.workers[takeWorkerUp(cell, shape)];
+        worker.incarnation = shape.incarnation;
+        worker.heardMs = now.monotonicMs; // Its silence counts from the time at which this leader could hear it.
     }
     std::vector<model::TaskId> waiting;
     for (const auto &[id, task] : cell.state.tasks) {
--- a/Source/control/cellworkers.cpp
+++ b/Source/control/cellworkers.cpp
@@ -294,6 +294,7 @@
         // Another process counts its announcements anew. What the earlier one ran is left to the end of its leases,
         // since a paused process may still hold it.
         live.incarnation = shape->second.incarnation;
+        live.heardMs = now.monotonicMs;
         live.heard = false;
         live.announcement = 0;
     }
--- a/Source/policy/admission.cpp
+++ b/Source/policy/admission.cpp
@@ -32,8 +32,9 @@
 
 bool canEverRun(const AdmissionQuery &query, const TeamQueue *team, const WorkerPool &pool, std::span<const model::Resources> declared)
 {
-    if (pool.workers.empty() && declared.empty()) {
-        return true; // Nothing is known yet; the queue's own deadline decides.
+    const bool nobodyRegistered = pool.totalOffer == model::Resources{};
+    if (nobodyRegistered && declared.empty()) {
+        return true; // Nothing is known; the queue's own deadline decides.
     }
     model::Resources all;
     for (const model::Resources &need : query.needs) {
@@ -42,7 +43,7 @@
         }
         all = all + need;
     }
-    const bool gangFits = query.needs.size() == 1 || pool.workers.empty() || model::fits(all, pool.totalOffer);
+    const bool gangFits = query.needs.size() == 1 || nobodyRegistered || model::fits(all, pool.totalOffer);
     return gangFits && (team == nullptr || quotaCouldHold(team->quota, all));
 }
 }
--- a/Tests/control/cell.cpp
+++ b/Tests/control/cell.cpp
@@ -220,6 +220,27 @@
     CHECK(bench.task("k").phase == TaskPhase::Dispatched);
 }
 
+TEST_CASE(Cell, NewLeaderGivesIdleWorkersTimeToAnnounceThemselves)
+{
+    CellBench bench(plainDocument);
+    bench.addWorker("w", worker);
+    // The clock of a machine that has been up for longer than any bound.
+    bench.now.monotonicMs += 100 * bench.cell.options.quietWorkerMs;
+    control::CellOutput output;
+    control::endLeading(bench.cell, output);
+    control::beginLeading(bench.cell, 2, bench.now, output);
+    const auto shapes = bench.shapes;
+    bench.shapes.clear();
+    bench.run(2000);
+    CHECK_EQUAL(std::size_t{1}, bench.cell.state.workers.size());
+    bench.run(bench.cell.options.quietWorkerMs);
+    CHECK(bench.cell.state.workers.empty());
+    CHECK(bench.errorOf(bench.submit("once", "waits")) == Reason::None); // No worker is known, so none is known to be too small.
+    bench.shapes = shapes;
+    bench.run(2000);
+    CHECK_EQUAL(std::size_t{1}, bench.starts.size());
+}
+
 TEST_CASE(Cell, CancelsQueuedAndRunningWork)
 {
     CellBench bench(plainDocument);
