--- a/Benchmarks/slopes.cpp
+++ b/Benchmarks/slopes.cpp
@@ -57,6 +57,38 @@
     spec.payload.assign(payloadBytes, 'p');
 }
 
+void measureSnapshot(const control::CellState &state)
+{
+    wire::Bytes image;
+    const double snapshot = microsOf(
+        [&] {
+            image = control::encodeImage(state);
+        },
+        1);
+    print("snapshot of the cell", snapshot / 1000, "ms");
+    print("size of a task in it", static_cast<double>(image.size()) / manyTasks, "bytes");
+    const std::size_t before = heapBytes();
+    const control::CellState standby = control::decodeCellImage(image);
+    const std::size_t standbyBytes = heapBytes() - before;
+    control::CellState closing = control::decodeCellImage(image);
+    wire::RetentionPassedT retention;
+    retention.answersBeforeMs = UINT64_MAX;
+    retention.mostKeys = UINT64_MAX;
+    retention.mostAnswers = UINT64_MAX;
+    wire::RecordT record;
+    record.change.Set(retention);
+    const double close = microsOf(
+        [&] {
+            control::apply(closing, record);
+        },
+        manyTasks);
+    print("closing of a key whose answer is no longer kept", close, "us");
+    const std::size_t beforeClosed = heapBytes();
+    const control::CellState reloaded = control::decodeCellImage(control::encodeImage(closing));
+    print("state of a closed key", static_cast<double>(heapBytes() - beforeClosed) / static_cast<double>(reloaded.closed.size()), "bytes");
+    print("state of an ended task, standby", static_cast<double>(standbyBytes) / manyTasks, "bytes");
+}
+
 void measureCell(int workers, int teams)
 {
     std::printf("\n-- one cell: %d workers, %d tasks, %d teams, payload and answer %zu bytes --\n", workers, manyTasks, teams, payloadBytes);
@@ -111,36 +143,7 @@
     print("result of a task", finish, "us");
     bench->replies.clear();
     std::vector<control::StartOrder>().swap(bench->starts);
-    wire::Bytes image;
-    const double snapshot = microsOf(
-        [&] {
-            image = control::encodeImage(bench->cell.state);
-        },
-        1);
-    print("snapshot of the cell", snapshot / 1000, "ms");
-    print("size of a task in it", static_cast<double>(image.size()) / manyTasks, "bytes");
-    const std::size_t before = heapBytes();
-    const control::CellState standby = control::decodeCellImage(image);
-    const std::size_t standbyBytes = heapBytes() - before;
-    control::CellState closing = control::decodeCellImage(image);
-    wire::RetentionPassedT retention;
-    retention.answersBeforeMs = UINT64_MAX;
-    retention.mostKeys = UINT64_MAX;
-    retention.mostAnswers = UINT64_MAX;
-    wire::RecordT record;
-    record.change.Set(retention);
-    const double close = microsOf(
-        [&] {
-            control::apply(closing, record);
-        },
-        manyTasks);
-    print("closing of a key whose answer is no longer kept", close, "us");
-    const std::size_t beforeClosed = heapBytes();
-    {
-        const control::CellState copy = closing;
-        print("state of a closed key", static_cast<double>(heapBytes() - beforeClosed) / manyTasks, "bytes");
-    }
-    print("state of an ended task, standby", static_cast<double>(standbyBytes) / manyTasks, "bytes");
+    measureSnapshot(bench->cell.state);
 }
 
 void measureConfig()
--- a/Tests/policy/policy.cpp
+++ b/Tests/policy/policy.cpp
@@ -184,11 +184,13 @@
 
 TEST_CASE(Spill, ChargesForBilledTraffic)
 {
+    constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+    constexpr std::uint64_t priceOfMegabyteMs = 1024ULL * 20;
     const policy::SpillPolicy policy;
     CHECK(!policy::isWorthSpilling(policy, policy.leastWaitMs - 1, 0));
     CHECK(policy::isWorthSpilling(policy, policy.leastWaitMs, 0));
-    CHECK(!policy::isWorthSpilling(policy, policy.leastWaitMs, 1024 * 1024));
-    CHECK(policy::isWorthSpilling(policy, policy.leastWaitMs + 1024 * 20, 1024 * 1024));
+    CHECK(!policy::isWorthSpilling(policy, policy.leastWaitMs, megabyte));
+    CHECK(policy::isWorthSpilling(policy, policy.leastWaitMs + priceOfMegabyteMs, megabyte));
 }
 
 TEST_CASE(Retry, BackOffGrowsToItsCapWithFullJitter)
