control: Say not-run only when no attempt ever ran

A repeatable task whose first attempt ran and failed was told not-run when a later attempt was refused, its queueMs passed, or it was cancelled while it waited again.

Ruled out: keeping it on the leader only; the next leader would not know.

Change: the requeue record says whether the attempt may have run, the task keeps it, and such an end is stopped (cancelled) or failed.

Seen failing first: Cell.NeverTellsNotRunAfterAnAttemptRan.

--- a/Source/control/cellattempts.cpp
+++ b/Source/control/cellattempts.cpp
@@ -13,7 +13,8 @@
     return reason == model::Reason::Preempted || reason == model::Reason::GangIncomplete;
 }
 
-void proposeRequeue(Cell &cell, const model::Task &task, LiveTask &live, model::Reason reason, std::uint64_t delayMs, const Now &now, CellOutput &output)
+void proposeRequeue(Cell &cell, const model::Task &task, LiveTask &live, AttemptEnd end, model::Reason reason, std::uint64_t delayMs, const Now &now,
+                    CellOutput &output)
 {
     live.ending = true;
     if (delayMs > 0) {
@@ -25,6 +26,7 @@
     record.task = task.id;
     record.attempt = task.attempt;
     record.reason = static_cast<std::uint16_t>(reason);
+    record.mayHaveRun = end != AttemptEnd::NeverBegan;
     output.proposals.push_back(wire::encodeChange(record));
 }
 
@@ -99,6 +101,9 @@
     if (live != cell.leader.live.end()) {
         live->second.ending = true;
     }
+    if (outcome == wire::Outcome::NotRun && task.mayHaveRun) {
+        outcome = task.cancelled ? wire::Outcome::Stopped : wire::Outcome::Failed; // The last attempt did not run; an earlier one did.
+    }
     wire::TaskEndedT record;
     record.task = task.id;
     record.attempt = task.attempt;
@@ -125,7 +130,7 @@
     }
     const std::optional<model::Reason> refusal = repeatRefusal(cell, task, live, end, reason);
     if (!refusal) {
-        proposeRequeue(cell, task, live, reason, retryDelayMs(cell, task, live, end, reason), now, output);
+        proposeRequeue(cell, task, live, end, reason, retryDelayMs(cell, task, live, end, reason), now, output);
     } else {
         const bool cancelledUnstarted = refusal == model::Reason::Cancelled && end == AttemptEnd::NeverBegan;
         proposeEnd(cell, task, cancelledUnstarted ? wire::Outcome::NotRun : outcomeOf(end, task.spec.idempotent), *refusal, answer, now, output);
--- a/Source/control/cellstate.cpp
+++ b/Source/control/cellstate.cpp
@@ -69,6 +69,7 @@
         return;
     }
     task->phase = wire::TaskPhase::Queued;
+    task->mayHaveRun = task->mayHaveRun || record.mayHaveRun;
     task->reason = static_cast<model::Reason>(record.reason);
     applied.requeued.push_back(task->id);
 }
@@ -96,7 +97,7 @@
     }
     task->cancelled = true;
     if (task->phase == wire::TaskPhase::Queued) {
-        endTask(*task, wire::Outcome::NotRun, model::Reason::Cancelled, record.atMs, applied);
+        endTask(*task, task->mayHaveRun ? wire::Outcome::Stopped : wire::Outcome::NotRun, model::Reason::Cancelled, record.atMs, applied);
         return;
     }
     applied.cancelled.push_back(task->id);
--- a/Source/model/task.cpp
+++ b/Source/model/task.cpp
@@ -46,6 +46,7 @@
     image.outcome = task.outcome;
     image.reason = static_cast<std::uint16_t>(task.reason);
     image.cancelled = task.cancelled;
+    image.mayHaveRun = task.mayHaveRun;
     image.acceptedAtMs = task.acceptedAtMs;
     image.endedAtMs = task.endedAtMs;
     image.worker = task.worker;
@@ -64,6 +65,7 @@
     task.outcome = image.outcome;
     task.reason = static_cast<Reason>(image.reason);
     task.cancelled = image.cancelled;
+    task.mayHaveRun = image.mayHaveRun;
     task.acceptedAtMs = image.acceptedAtMs;
     task.endedAtMs = image.endedAtMs;
     task.worker = image.worker;
--- a/Source/model/task.h
+++ b/Source/model/task.h
@@ -22,6 +22,7 @@
     wire::Outcome outcome = wire::Outcome::None;
     Reason reason = Reason::None;
     bool cancelled = false;
+    bool mayHaveRun = false; ///< An earlier attempt began or may have; "not run" would not be true any more.
     std::uint64_t acceptedAtMs = 0; ///< Wall clock of the leader that accepted it.
     std::uint64_t endedAtMs = 0; ///< Wall clock of the leader that recorded its end.
     std::string worker; ///< Worker of the latest attempt.
--- a/Tests/control/cell.cpp
+++ b/Tests/control/cell.cpp
@@ -241,6 +241,47 @@
     CHECK_EQUAL(std::size_t{1}, bench.starts.size());
 }
 
+TEST_CASE(Cell, NeverTellsNotRunAfterAnAttemptRan)
+{
+    enum class Then {
+        Cancelled,
+        Deadline,
+        Refused,
+    };
+    struct Row
+    {
+        Then then;
+        Outcome outcome;
+    };
+    for (const Row &row : {Row{Then::Cancelled, Outcome::Stopped}, Row{Then::Deadline, Outcome::Failed}, Row{Then::Refused, Outcome::Failed}}) {
+        CellBench bench(documentOf(service("idem", R"(,"attempts":2)")));
+        bench.addWorker("w", worker);
+        bench.submit("idem", "k", [&row](wire::TaskSpecT &spec) {
+            spec.queueMs = row.then == Then::Deadline ? 3000 : 0;
+        });
+        bench.run(100);
+        bench.finishTask(bench.starts[0], true);
+        if (row.then == Then::Refused) {
+            bench.run(20000);
+            control::CellOutput output;
+            control::handleStartReplies(bench.cell, {{bench.starts.at(1).task, 2, control::StartFate::Refused, 0}}, bench.now, output);
+            bench.takeOutput(std::move(output));
+        } else {
+            bench.shapes["w"].leaving = true;
+            bench.announceAll();
+        }
+        if (row.then == Then::Cancelled) {
+            wire::RequestT request;
+            request.operation = wire::Operation::Cancel;
+            request.key = "k@dc1";
+            bench.send(request);
+        }
+        bench.run(5000);
+        CHECK(bench.task("k").phase == TaskPhase::Ended);
+        CHECK(bench.task("k").outcome == row.outcome);
+    }
+}
+
 TEST_CASE(Cell, CancelsQueuedAndRunningWork)
 {
     CellBench bench(plainDocument);
--- a/Tests/fakes/cellbench.cpp
+++ b/Tests/fakes/cellbench.cpp
@@ -12,7 +12,7 @@
     cell.random.seed(1);
     control::CellOutput output;
     control::beginLeading(cell, 1, now, output);
-    take(std::move(output));
+    takeOutput(std::move(output));
 }
 
 void CellBench::apply(const std::string &document)
@@ -31,7 +31,7 @@
     control::configChanged(cell, now);
 }
 
-void CellBench::take(control::CellOutput output)
+void CellBench::takeOutput(control::CellOutput output)
 {
     for (control::TokenReply &reply : output.replies) {
         replies[reply.token] = std::move(reply.reply);
@@ -47,7 +47,7 @@
         const auto record = wire::decode<wire::RecordT>(bytes);
         control::CellOutput result;
         control::applyRecord(cell, *record, now, result);
-        take(std::move(result));
+        takeOutput(std::move(result));
     }
 }
 
@@ -55,7 +55,7 @@
 {
     control::CellOutput output;
     control::tickCell(cell, now, true, output);
-    take(std::move(output));
+    takeOutput(std::move(output));
 }
 
 control::Token CellBench::send(const wire::RequestT &request)
@@ -63,7 +63,7 @@
     const control::Token token = nextToken++;
     control::CellOutput output;
     control::handleRequest(cell, token, request, now, true, output);
-    take(std::move(output));
+    takeOutput(std::move(output));
     return token;
 }
 
@@ -154,7 +154,7 @@
 {
     control::CellOutput output;
     control::handleSpillReply(cell, call, reply, now, output);
-    take(std::move(output));
+    takeOutput(std::move(output));
 }
 
 void CellBench::run(std::uint64_t milliseconds)
--- a/Tests/fakes/cellbench.h
+++ b/Tests/fakes/cellbench.h
@@ -29,6 +29,8 @@
     control::Token finishTask(const control::StartOrder &order, bool failed = false);
     /** Hands in the answer of another data centre. @param call the call. @param reply the answer. */
     void takeSpillReply(const control::SpillCall &call, const wire::ReplyT &reply);
+    /** Carries out what a call to the cell asked for. @param output what it asked. */
+    void takeOutput(control::CellOutput output);
     /** Lets time pass in ticks, announcing all workers each second. @param milliseconds how long. */
     void run(std::uint64_t milliseconds);
     /** Puts another document in force. @param document the document. */
@@ -53,7 +55,6 @@
     control::Token nextToken = 1;
 
 private:
-    void take(control::CellOutput output);
     void tick();
 };
 }
