wire: Put messages into frames in one place

Cause: the last reading of the whole change: daemon and peer network each had their own frameOf(), and cellworkers.cpp wrapped == in a function that said nothing more.

Change: frameOf() stands beside encodeFrame(); the wrapper is gone. Behaviour as before.

--- a/Source/control/cellworkers.cpp
+++ b/Source/control/cellworkers.cpp
@@ -19,11 +19,6 @@
     return durationMs * (hundred + cell.options.driftPercent) / hundred;
 }
 
-bool sameShape(const wire::WorkerRegisteredT &a, const wire::WorkerRegisteredT &b)
-{
-    return a == b;
-}
-
 wire::RunningTaskT mention(const model::Task &task, wire::TaskAction action)
 {
     wire::RunningTaskT mention;
@@ -261,7 +256,7 @@
 {
     const wire::WorkerRegisteredT &shape = *announcement.shape;
     const auto known = cell.state.workers.find(shape.worker);
-    if (known != cell.state.workers.end() && sameShape(known->second, shape)) {
+    if (known != cell.state.workers.end() && known->second == shape) {
         processAnnouncement(cell, token, announcement, now, output);
         return;
     }
@@ -270,7 +265,7 @@
         return;
     }
     auto &pending = cell.leader.pendingAnnouncements[shape.worker];
-    const bool proposed = !pending.empty() && sameShape(*pending.back().announcement.shape, shape);
+    const bool proposed = !pending.empty() && *pending.back().announcement.shape == shape;
     pending.push_back({token, announcement});
     if (!proposed) {
         output.proposals.push_back(wire::encodeChange(shape));
@@ -310,7 +305,7 @@
     const std::vector<PendingAnnouncement> pending = std::move(found->second);
     cell.leader.pendingAnnouncements.erase(found);
     for (const PendingAnnouncement &announcement : pending) {
-        if (sameShape(*announcement.announcement.shape, cell.state.workers.at(worker))) {
+        if (*announcement.announcement.shape == cell.state.workers.at(worker)) {
             processAnnouncement(cell, announcement.token, announcement.announcement, now, output);
         } else {
             cell.leader.pendingAnnouncements[worker].push_back(announcement);
--- a/Source/daemon/daemon.cpp
+++ b/Source/daemon/daemon.cpp
@@ -11,6 +11,7 @@
 #include "transport/peernetwork.h"
 #include "transport/startsender.h"
 #include "transport/upstreamapi.h"
+#include "wire/frame.h"
 
 #include <algorithm>
 #include <atomic>
@@ -84,14 +85,6 @@
     return {};
 }
 
-template<typename Body>
-wire::PeerFrameT frameOf(Body body)
-{
-    wire::PeerFrameT frame;
-    frame.body.Set(std::move(body));
-    return frame;
-}
-
 /** The running parts of a daemon and the pipes between them. */
 class Parts
 {
@@ -189,13 +182,13 @@
             wire::CallT body;
             body.id = call.id;
             body.request = std::make_unique<wire::RequestT>(std::move(call.request));
-            m_network.send(call.to, frameOf(std::move(body)));
+            m_network.send(call.to, wire::frameOf(std::move(body)));
         };
         sinks.replyToPeer = [this](control::OutgoingReply reply) {
             wire::CallReplyT body;
             body.id = reply.id;
             body.reply = std::make_unique<wire::ReplyT>(std::move(reply.reply));
-            m_network.send(reply.to, frameOf(std::move(body)));
+            m_network.send(reply.to, wire::frameOf(std::move(body)));
         };
         sinks.reply = [this](control::TokenReply reply) {
             m_gateway.deliver(std::move(reply));
@@ -251,7 +244,7 @@
     void sendMessage(wire::ConsensusMessageT message)
     {
         const std::string to = message.to;
-        m_network.send(to, frameOf(std::move(message)));
+        m_network.send(to, wire::frameOf(std::move(message)));
     }
 
     void noteReady(bool ready)
--- a/Source/transport/peernetwork.cpp
+++ b/Source/transport/peernetwork.cpp
@@ -48,14 +48,6 @@
     const int on = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
-
-template<typename Body>
-wire::PeerFrameT frameOf(Body body)
-{
-    wire::PeerFrameT frame;
-    frame.body.Set(std::move(body));
-    return frame;
-}
 }
 
 PeerNetwork::PeerNetwork(const config::Settings &settings, std::uint64_t incarnation, PeerHandlers handlers)
@@ -129,7 +121,7 @@
     hello.incarnation = m_incarnation;
     hello.oldestVersion = wire::oldestProtocolVersion;
     hello.newestVersion = wire::newestProtocolVersion;
-    return frameOf(std::move(hello));
+    return wire::frameOf(std::move(hello));
 }
 
 void PeerNetwork::run()
@@ -331,7 +323,7 @@
         connection.nextHeartbeatMs = nowMs + silenceMs / heartbeatsPerSilence;
         wire::HeartbeatT heartbeat;
         heartbeat.sentMs = nowMs;
-        count(connection.peer, connection.queue(frameOf(heartbeat)));
+        count(connection.peer, connection.queue(wire::frameOf(heartbeat)));
     }
 }
 
--- a/Source/wire/frame.h
+++ b/Source/wire/frame.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <span>
 #include <system_error>
+#include <utility>
 
 namespace rosemaryturn::wire
 {
@@ -18,6 +19,20 @@
 constexpr std::uint16_t oldestProtocolVersion = 1;
 constexpr std::uint16_t newestProtocolVersion = 2;
 
+/**
+ * Puts a message into a frame.
+ * @tparam Body the object form of a member of PeerBody.
+ * @param body the message.
+ * @return the frame.
+ */
+template<typename Body>
+PeerFrameT frameOf(Body body)
+{
+    PeerFrameT frame;
+    frame.body.Set(std::move(body));
+    return frame;
+}
+
 /**
  * Encodes one frame with its length.
  * @param frame the message.
