deployment: Let kept room outlast a pass, and leave the turn to what fits

Room kept for a gang was forgotten in each pass in which the gang paused, and smaller work took it. Change: a step without a valid ticket isn't tried while its question is under way; pauses double up to 160 ms; kept room stays with the step. Test: Deployment.ABacklogWithoutRoomLeavesTheTurnToWhatFits, seen failing with the placing before.

--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -44,6 +44,19 @@
     }
 }
 
+/** @return whether a record tells that a task of the job started; what was only placed is confirmed by the lists of its upstream. */
+bool mayHaveBegun(const job::Job &job)
+{
+    const auto tells = [](const job::Task &task) {
+        return task.done || task.failed > 0 || !task.checkpoint.empty();
+    };
+    return job::hasEnded(job.phase) || std::any_of(job.occurrences.begin(), job.occurrences.end(), [&tells](const auto &occurrence) {
+               return std::any_of(occurrence.second.steps.begin(), occurrence.second.steps.end(), [&tells](const job::StepRuns &step) {
+                   return std::any_of(step.tasks.begin(), step.tasks.end(), tells);
+               });
+           });
+}
+
 void answerAll(std::vector<Token> &tokens, const wire::ReplyT &reply, LeaderOutput &output)
 {
     for (const Token token : tokens) {
@@ -82,7 +95,7 @@
     }
     const job::Job &job = state.jobs.at(number->second);
     answerWaiting(leader.submits, id, {}, output);
-    if (job.phase != job::Phase::Queued || !leader.queuedJobs.insert(job.number).second) {
+    if (job::hasEnded(job.phase) || !leader.queuedJobs.insert(job.number).second) {
         return;
     }
     ++leader.queued[{job.spec.host, job.spec.prefix}];
@@ -138,7 +151,7 @@
     wire::RunsEndedT lost;
     for (const auto &[number, job] : state.jobs) {
         inheritRuns(leader, job, now, lost);
-        if (job.phase == job::Phase::Queued) {
+        if (!mayHaveBegun(job)) {
             leader.queuedJobs.insert(number);
             ++leader.queued[{job.spec.host, job.spec.prefix}];
         }
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -196,6 +196,7 @@
     std::uint64_t askAgainMs = 0; ///< No question before this.
     std::uint64_t usedMs = 0; ///< When it was last looked at.
     std::uint64_t answeredMs = 0; ///< When the latest answer came.
+    std::uint64_t ticketsUntilMs = 0; ///< When the last of the tickets runs out.
 };
 
 /** A step with tasks to place. */
@@ -207,6 +208,8 @@
     std::uint64_t dueWallMs = 0; ///< Not before this, for timed jobs.
     std::string name; ///< As the advice service and the log call it.
     std::uint64_t tryAgainMs = 0; ///< After an attempt without success, not before this, unless advice comes.
+    std::uint32_t vainTries = 0; ///< Attempts without success in a row.
+    std::vector<std::uint32_t> kept; ///< Upstreams that are kept free for it.
     std::vector<std::uint32_t> unplaced; ///< Tasks without a run.
 };
 
@@ -306,7 +309,7 @@
     std::unordered_map<std::uint64_t, std::vector<Token>> cancels; ///< Tokens that wait for a cancel's record, by job.
     std::map<std::uint64_t, std::vector<Token>> plans; ///< Tokens that wait for a plan's record, by version.
     std::map<std::uint64_t, std::vector<Token>> waves;
-    std::map<std::pair<std::string, std::string>, std::uint64_t> queued; ///< Jobs of which no task was placed, by queue.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> queued; ///< Jobs of which no task is known to have started, by queue.
     std::set<std::uint64_t> queuedJobs; ///< Jobs that the counts in queued stand for.
     std::uint64_t nextCall = 1;
     std::unordered_map<std::string, double> allowedShares; ///< Smoothed share of the upstreams named that is allowed, by queue.
@@ -372,6 +375,7 @@
 void stopJob(Leader &leader, const job::State &state, const job::Job &job, const Now &now, LeaderOutput &output);
 void proposeEnd(const upstream::Run &run, wire::RunEnd end, const std::string &checkpoint, wire::RunsEndedT &record);
 void proposeEnds(wire::RunsEndedT record, const Now &now, LeaderOutput &output);
+void noteBegun(Leader &leader, const job::State &state, std::uint64_t number);
 void followJobEnd(Leader &leader, const job::State &state, const job::Job &job, const Now &now, LeaderOutput &output);
 void tickRuns(Leader &leader, const job::State &state, upstream::Life &life, const Now &now, LeaderOutput &output);
 
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -268,7 +268,9 @@
             advice.allowed.erase(number);
             continue;
         }
-        advice.allowed[number] = {ticket->second, now.steadyMs + reply.validMs - std::min(reply.validMs, replyWayMs), life->second.seen.born};
+        const std::uint64_t validUntilMs = now.steadyMs + reply.validMs - std::min(reply.validMs, replyWayMs);
+        advice.allowed[number] = {ticket->second, validUntilMs, life->second.seen.born};
+        advice.ticketsUntilMs = std::max(advice.ticketsUntilMs, validUntilMs);
     }
 }
 
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -19,11 +19,13 @@
 constexpr std::uint64_t ticketSpareMs = 200;
 /** Of each priority, after this many attempts without success a pass tries no more: a backlog must not take the time that
  *  looks and orders need. */
-constexpr std::uint32_t mostFailuresAPass = 16;
-/** Pause between two attempts to place a step of the most urgent queue. */
+constexpr std::uint32_t mostFailuresAPass = 32;
+/** Pause after the first attempt in vain to place a step of the most urgent queue. */
 constexpr std::uint64_t urgentTryAgainMs = 12;
-/** Pause between two attempts to place a step of a less urgent queue: each looks at all upstreams. */
+/** Pause after the first attempt in vain to place a step of a less urgent queue: each looks at all upstreams. */
 constexpr std::uint64_t tryAgainMs = 40;
+/** Longest such pause. It doubles with each attempt, so that what finds no room leaves the pass to what stands behind it. */
+constexpr std::uint64_t longestTryAgainMs = 160;
 /** Of all upstreams, at most one in this many is kept free for gangs. */
 constexpr std::size_t mostKeptShare = 3;
 
@@ -99,6 +101,19 @@
     }));
 }
 
+/** Marks what is kept free for a step. */
+void markKept(const WaitingStep &waiting, std::span<Spot> spots)
+{
+    for (const std::uint32_t number : waiting.kept) {
+        const auto spot = std::lower_bound(spots.begin(), spots.end(), number, [](const Spot &other, std::uint32_t wanted) {
+            return other.life->seen.number < wanted;
+        });
+        if (spot != spots.end() && spot->life->seen.number == number) {
+            spot->kept = true;
+        }
+    }
+}
+
 /** Keeps upstreams free for a gang that has no room yet. */
 void keepRoom(const Attempt &attempt, const Now &now)
 {
@@ -117,18 +132,22 @@
         candidate.free = roomSoon(*spot.life);
         candidates.push_back({spot.life->seen.number, fitsNow, std::max(fitsNow, policy::roomFor(need, candidate))});
     });
-    for (const std::uint32_t number : policy::reserveForGang(candidates, need.count)) {
-        const auto spot = std::lower_bound(attempt.spots.begin(), attempt.spots.end(), number, [](const Spot &other, std::uint32_t wanted) {
-            return other.life->seen.number < wanted;
-        });
-        spot->kept = true;
-    }
+    attempt.waiting.kept = policy::reserveForGang(candidates, need.count);
+    markKept(attempt.waiting, attempt.spots);
+}
+
+std::uint64_t pauseAfter(const WaitingStep &waiting)
+{
+    const std::uint64_t first = waiting.key.priority > 0 ? tryAgainMs : urgentTryAgainMs;
+    constexpr std::uint32_t mostDoublings = 4;
+    return std::min(first << std::min(waiting.vainTries, mostDoublings), longestTryAgainMs);
 }
 
 /** Places what has room and tickets, and asks for tickets where only they are missing. */
 void tryPlace(Leader &leader, const job::State &state, Attempt &attempt, const Now &now, wire::RunsPlacedT &record, LeaderOutput &output)
 {
     const policy::SpreadNeed need = needFor(attempt);
+    attempt.waiting.kept.clear();
     std::vector<policy::SpreadCandidate> candidates = candidatesFor(attempt, attempt.queue.advised, now);
     if (isEnough(attempt, policy::roomForAll(need, candidates))) {
         const std::vector<std::uint32_t> picked = policy::spread(need, candidates);
@@ -138,11 +157,13 @@
                                         + " waitedMs=" + std::to_string(now.steadyMs - attempt.waiting.sinceMs)});
         noteLatency(leader.counters.waits, now.steadyMs - attempt.waiting.sinceMs);
         recordPlacement(leader, state, attempt, picked, record);
+        attempt.waiting.vainTries = 0;
     }
     if (attempt.waiting.unplaced.empty()) {
         return;
     }
-    attempt.waiting.tryAgainMs = now.steadyMs + (attempt.queue.priority > 0 ? tryAgainMs : urgentTryAgainMs);
+    attempt.waiting.tryAgainMs = now.steadyMs + pauseAfter(attempt.waiting);
+    ++attempt.waiting.vainTries;
     if (attempt.queue.advised) {
         askIfUseful(leader, attempt, now, output);
     }
@@ -197,9 +218,12 @@
     }
     Advice &advice = leader.advice[waiting.name];
     advice.usedMs = now.steadyMs;
-    const bool nothingKnown = queue->advised && advice.call != 0 && advice.allowed.empty();
+    // Without a ticket there is nothing to try until the answer comes; a backlog whose tickets ran out must not use up the pass.
+    const bool ticketless = queue->advised && now.steadyMs + ticketSpareMs >= advice.ticketsUntilMs;
+    const bool nothingKnown = ticketless && advice.call != 0;
     if (nothingKnown || (now.steadyMs < waiting.tryAgainMs && advice.answeredMs < leader.placedBeforeMs)) {
         leader.placeSoon = leader.placeSoon || !nothingKnown;
+        markKept(waiting, spotsOf(floor, queue->service));
         return false;
     }
     Attempt attempt{waiting, *job.spec.steps[waiting.ref.step], *queue, advice, spotsOf(floor, queue->service)};
@@ -207,10 +231,12 @@
     if (tooLate && !isRoomToSpare(attempt.spots)) {
         leader.placeSoon = true;
         waiting.tryAgainMs = now.steadyMs + tryAgainMs;
+        waiting.kept.clear();
         return false;
     }
     tryPlace(leader, state, attempt, now, record, output);
-    return !waiting.unplaced.empty();
+    const bool askedOnly = ticketless && advice.call != 0;
+    return !waiting.unplaced.empty() && !askedOnly;
 }
 }
 
@@ -306,7 +332,7 @@
         WaitingStep &waiting = *entry.waiting;
         std::uint32_t &failed = failures[waiting.key.priority];
         if (failed >= mostFailuresAPass) {
-            leader.placeSoon = true;
+            leader.placeSoon = true; // Its turn comes while those before it pause.
         } else if (triedInVain(leader, state, waiting, floor, now, record, output)) {
             ++failed;
         }
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -125,12 +125,6 @@
     wire::RunsEndedT never;
     for (const wire::RunPlaced &placed : record.runs) {
         const job::TaskRef task{placed.job(), placed.occurrence(), placed.step(), placed.index()};
-        if (leader.queuedJobs.erase(placed.job()) > 0) {
-            const auto job = state.jobs.find(placed.job());
-            if (job != state.jobs.end()) {
-                --leader.queued[{job->second.spec.host, job->second.spec.prefix}];
-            }
-        }
         const auto life = leader.lives.find(placed.upstream());
         const auto run = life == leader.lives.end() ? decltype(life->second.runs.end()){} : life->second.runs.find(task);
         if (life == leader.lives.end() || run == life->second.runs.end() || run->second.number != placed.run()) {
@@ -154,11 +148,17 @@
     proposeEnds(std::move(never), now, output);
 }
 
-void followJobEnd(Leader &leader, const job::State &state, const job::Job &job, const Now &now, LeaderOutput &output)
+void noteBegun(Leader &leader, const job::State &state, std::uint64_t number)
 {
-    if (leader.queuedJobs.erase(job.number) > 0) {
-        --leader.queued[{job.spec.host, job.spec.prefix}];
+    const auto job = state.jobs.find(number);
+    if (job != state.jobs.end() && leader.queuedJobs.erase(number) > 0) {
+        --leader.queued[{job->second.spec.host, job->second.spec.prefix}];
     }
+}
+
+void followJobEnd(Leader &leader, const job::State &state, const job::Job &job, const Now &now, LeaderOutput &output)
+{
+    noteBegun(leader, state, job.number);
     leader.timed.erase(job.number);
     dropWaiting(leader, job.number);
     stopJob(leader, state, job, now, output);
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -298,6 +298,7 @@
         return;
     }
     Run &run = found->second;
+    noteBegun(leader, state, task.job);
     if (!listed.checkpoint.empty()) {
         run.checkpoint = listed.checkpoint;
     }
@@ -374,6 +375,7 @@
             }
             continue; // Any other was recorded another way.
         }
+        noteBegun(leader, state, task.job);
         const std::string &checkpoint = end.checkpoint.empty() ? found->second.checkpoint : end.checkpoint;
         proposeEnd(found->second, countEnd(leader, life, end.end), checkpoint, record);
         if (end.end != wire::RunEnd::Done) {
@@ -478,6 +480,7 @@
     run.orderOpen = false;
     switch (fate) {
     case CallFate::Done:
+        noteBegun(leader, state, run.task.job);
         if (run.phase == RunPhase::Starting) {
             run.phase = RunPhase::Running;
             run.startedAtMs = now.steadyMs;
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -418,6 +418,52 @@
     playSchedules(true);
 }
 
+/** After a leader's loss: a backlog of wide steps that find no room stood first in the order, and small ones behind them were never tried. */
+TEST_CASE(Deployment, ABacklogWithoutRoomLeavesTheTurnToWhatFits)
+{
+    FleetOptions options;
+    options.upstreams = 12;
+    options.cpuMillis = 16000;
+    Fleet fleet(options);
+    settle(fleet);
+    CHECK(fleet.putPlan(2, 2, true));
+    fleet.submit("/0/first", {makeStep(12, 12000, 20000)}); // Leaves 4 cores on each upstream.
+    fleet.run(1500);
+    for (int i = 0; i < 200; ++i) {
+        fleet.submit("/0/wide" + std::to_string(i), {makeStep(2, 12000, 300)});
+    }
+    fleet.run(700);
+    for (int i = 0; i < 8; ++i) {
+        fleet.submit("/0/small" + std::to_string(i), {makeStep(1, 3000, 300)});
+    }
+    fleet.run(1000); // The wide ones are still in time, and before them in the order.
+    for (int i = 0; i < 8; ++i) {
+        CHECK(fleet.phase("/0/small" + std::to_string(i)) == job::Phase::Completed);
+    }
+    CHECK_EQUAL(std::string(), brokenText(fleet));
+}
+
+/** A job that was placed on an upstream that never took it has not begun: it still counts as waiting. */
+TEST_CASE(Deployment, AJobWhoseStartIsNeverMadeStillWaits)
+{
+    FleetOptions options;
+    options.upstreams = 1;
+    Fleet fleet(options);
+    settle(fleet);
+    CHECK(fleet.putPlan(1, 2, false));
+    fleet.troubles.lostShare = 1;
+    fleet.submit("/0/j1", {makeStep(1, 1000, 500)});
+    fleet.run(2000);
+    const deployment::Token waiting = fleet.ask(wire::Operation::QueueLength, "/0/");
+    fleet.run(300);
+    CHECK_EQUAL(std::uint64_t{1}, fleet.answer(waiting).reply.count);
+    fleet.troubles.lostShare = 0;
+    CHECK(completes(fleet, "/0/j1", 20000));
+    const deployment::Token none = fleet.ask(wire::Operation::QueueLength, "/0/");
+    fleet.run(300);
+    CHECK_EQUAL(std::uint64_t{0}, fleet.answer(none).reply.count);
+}
+
 TEST_CASE(Deployment, CouriersDeliverTheOrdersOfTheLeader)
 {
     Fleet fleet(withCouriers());
