--- a/Source/deployment/host.cpp
+++ b/Source/deployment/host.cpp
@@ -155,13 +155,6 @@
             internal::runLeader(host, std::move(leaderStep), now, output);
         }
     }
-    const std::string reached = leaderOf(host, now);
-    const auto leading = host.peers.find(reached);
-    if (decides(host, now) || (leading != host.peers.end() && leading->second.connected)) {
-        host.leaderlessSinceMs = 0;
-    } else if (host.leaderlessSinceMs == 0) {
-        host.leaderlessSinceMs = now.steadyMs;
-    }
     std::vector<Token> due;
     for (const auto &[token, routed] : host.routed) {
         const bool lost = routed.call != 0 && now.steadyMs > routed.sentMs + host.options.callMs;
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -31,9 +31,6 @@
     std::uint64_t retryMs = 40; ///< Pause before a request is handed on again.
     std::uint64_t topologyMs = 500; ///< Time between two questions for the leader and the control hosts.
     std::uint64_t leaderKnownMs = 2500; ///< How long an answer about the leader counts.
-    std::uint64_t leaderPatienceMs = 1500; ///< Without a leader for longer than an election usually takes, submissions are refused at once.
-    std::uint64_t leastComeBackMs = 1000; ///< Bounds of when a submission refused for want of a leader is to come back.
-    std::uint64_t mostComeBackMs = 4000; ///< Callers have a few attempts: with this pause they outlast a loss of power of ten seconds.
     std::uint64_t removeAfterMs = 8000; ///< Silence after which a voter in excess of leastVoters leaves the group.
     std::size_t leastVoters = 3;
     std::size_t mostVoters = 7;
@@ -143,7 +140,6 @@
     std::map<std::uint64_t, Origin> adviceFor; ///< Questions that this host puts for others.
     Token nextToken = 1ULL << 62U; ///< Above all tokens that the edge gives.
     std::uint64_t nextCall = 1;
-    std::uint64_t leaderlessSinceMs = 0; ///< Since when no leader is in reach; 0 while one is.
     bool draining = false;
     wire::Bytes image; ///< A snapshot that waits until the members hold the log up to it; empty for none.
     std::uint64_t imageIndex = 0;
--- a/Source/deployment/hostrouting.cpp
+++ b/Source/deployment/hostrouting.cpp
@@ -48,30 +48,6 @@
     host.routed.erase(token);
 }
 
-/** @return whether it is known that a submission can't be served now, and that it was never handed on. */
-bool knownUnservable(const Host &host, const RoutedRequest &routed, const Now &now)
-{
-    const bool lost = host.leaderlessSinceMs != 0 && now.steadyMs > host.leaderlessSinceMs + host.options.leaderPatienceMs;
-    return lost && !routed.maybeTaken && routed.request.operation == wire::Operation::SubmitJob;
-}
-
-/** Refuses a submission at once. The longer the loss has lasted, the longer it is likely to last; callers come back spread out. */
-void refuseLeaderless(Host &host, Token token, const Now &now, HostOutput &output)
-{
-    const HostOptions &options = host.options;
-    const std::uint64_t lostMs = now.steadyMs - host.leaderlessSinceMs;
-    const std::uint64_t comeBackMs = std::clamp(lostMs, options.leastComeBackMs, options.mostComeBackMs);
-    constexpr std::uint64_t mix = 0x9E3779B97F4A7C15; // Spreads neighbouring numbers over the whole range.
-    const std::uint64_t spreadMs = (token * mix >> 32U) % (comeBackMs / 2);
-    wire::ReplyT reply;
-    reply.error = static_cast<std::uint16_t>(model::Reason::NoLeader);
-    reply.retryAfterMs = static_cast<std::uint32_t>(comeBackMs * 3 / 4 + spreadMs);
-    output.decisions.push_back(
-        {"refused-leaderless", host.routed.at(token).request.path, "lostMs=" + std::to_string(lostMs) + " comeBackMs=" + std::to_string(reply.retryAfterMs)});
-    output.answers.push_back({token, std::move(reply)});
-    host.routed.erase(token);
-}
-
 bool isRetryable(model::Reason reason)
 {
     return reason == model::Reason::NoLeader || reason == model::Reason::LeadershipLost;
@@ -254,10 +230,6 @@
     const std::string leader = leaderOf(host, now);
     const auto peer = host.peers.find(leader);
     if (leader.empty() || leader == host.options.host || peer == host.peers.end() || !peer->second.connected) {
-        if (knownUnservable(host, routed, now)) {
-            refuseLeaderless(host, token, now, output);
-            return;
-        }
         routed.retryAtMs = now.steadyMs + host.options.retryMs;
         host.nextTopologyMs = std::min(host.nextTopologyMs, now.steadyMs + host.options.retryMs);
         return;
