deployment: Keep an odd number of voters

Five voters bear the loss of two as six do, and one half keeps three of five. Change: a learner is promoted only on the way to an odd number. The fleet of the tests founds from three seeds, as the platform does. Test: Deployment.ACutIntoHalvesLeavesAMajority.

--- a/Source/deployment/hostmembership.cpp
+++ b/Source/deployment/hostmembership.cpp
@@ -64,22 +64,34 @@
     return std::nullopt;
 }
 
-std::optional<wire::MembershipT> promoteLearner(const Host &host)
+/** @return the learners that hold the log. */
+std::vector<const wire::MemberT *> readyLearners(const Host &host)
 {
-    if (voterCount(host.node->membership) >= host.options.mostVoters) {
-        return std::nullopt;
-    }
+    std::vector<const wire::MemberT *> ready;
     for (const auto &member : host.node->membership.members) {
         const auto progress = host.node->progress.find(member->host);
         const bool caughtUp = progress != host.node->progress.end() && progress->second.incarnation == member->incarnation
             && progress->second.match >= host.node->commit && host.node->commit > 0;
         if (member->role == wire::MemberRole::Learner && caughtUp) {
-            wire::MemberT voter = *member;
-            voter.role = wire::MemberRole::Voter;
-            return withMember(host.node->membership, voter);
+            ready.push_back(member.get());
         }
     }
-    return std::nullopt;
+    return ready;
+}
+
+/** An even number of voters bears no more losses than one voter less, and a cut into halves leaves it without a majority. */
+std::optional<wire::MembershipT> promoteLearner(const Host &host)
+{
+    const std::vector<const wire::MemberT *> ready = readyLearners(host);
+    const std::size_t voters = voterCount(host.node->membership);
+    const std::size_t possible = std::min(host.options.mostVoters, voters + ready.size());
+    const std::size_t wanted = possible % 2 == 1 ? possible : possible - 1;
+    if (ready.empty() || voters >= wanted) {
+        return std::nullopt;
+    }
+    wire::MemberT voter = *ready.front();
+    voter.role = wire::MemberRole::Voter;
+    return withMember(host.node->membership, voter);
 }
 
 std::optional<wire::MembershipT> removeSilent(const Host &host, const Now &now)
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -464,6 +464,43 @@
     CHECK_EQUAL(std::uint64_t{0}, fleet.answer(none).reply.count);
 }
 
+namespace
+{
+std::size_t votersOf(const fakes::FakeHost &host)
+{
+    const auto &members = host.host->node->membership.members;
+    return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const auto &member) {
+        return member->role == wire::MemberRole::Voter;
+    }));
+}
+}
+
+/** Six control hosts cut into halves: with six voters neither half had a majority, and nothing was served until the cut healed. */
+TEST_CASE(Deployment, ACutIntoHalvesLeavesAMajority)
+{
+    FleetOptions options;
+    options.controlHosts = 6;
+    Fleet fleet(options);
+    settle(fleet);
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.leader() != nullptr && votersOf(*fleet.leader()) == 5;
+        },
+        10000));
+    CHECK(fleet.putPlan(1, 2, false));
+    fleet.run(3000);
+    CHECK_EQUAL(std::size_t{5}, votersOf(*fleet.leader()));
+    for (const char *left : {"c0", "c2", "c4"}) {
+        for (const char *right : {"c1", "c3", "c5"}) {
+            fleet.cut(left, right, true);
+        }
+    }
+    fleet.run(4000);
+    fleet.submit("/0/j1", {makeStep(2, 1000, 500)});
+    CHECK(completes(fleet, "/0/j1", 12000));
+    CHECK_EQUAL(std::string(), brokenText(fleet));
+}
+
 TEST_CASE(Deployment, CouriersDeliverTheOrdersOfTheLeader)
 {
     Fleet fleet(withCouriers());
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -135,12 +135,14 @@
     settings.canAdvise = true;
     settings.leader.longestLeaseMs = options.longestLeaseMs;
     settings.couriers.fromUpstreams = options.couriersFrom;
-    for (std::uint32_t i = 0; i < options.controlHosts; ++i) {
+    constexpr std::uint32_t mostSeeds = 3;
+    for (std::uint32_t i = 0; i < std::min(options.controlHosts, mostSeeds); ++i) {
         settings.seeds.push_back("c" + std::to_string(i));
     }
+    const bool founds = !m_founded && std::find(settings.seeds.begin(), settings.seeds.end(), host.id) != settings.seeds.end();
     if (host.control && host.disk.empty()) {
-        host.incarnation = m_founded ? m_random() / 2 : 1;
-        if (!m_founded) {
+        host.incarnation = founds ? 1 : m_random() / 2;
+        if (founds) {
             consensus::Node founder;
             founder.log.snapshotMembership = deployment::foundingMembership(settings.seeds);
             host.disk = consensus::journalOf(founder);
