--- a/Source/daemon/deploymentdaemon.cpp
+++ b/Source/daemon/deploymentdaemon.cpp
@@ -396,7 +396,7 @@
     }
 
     /** Makes calls to upstreams for the host that leads; gives them back untouched while this one ends or has too many. */
-    void deliver(const std::string &from, wire::OrdersT orders)
+    void deliver(const std::string &from, wire::OrdersT &&orders)
     {
         std::vector<transport::ClientCall> calls;
         wire::OrderAnswersT given;
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -187,7 +187,7 @@
 
 /** Takes a courier's answers. @param host the host. @param from the courier. @param answers what the upstreams answered, and what it didn't deliver. @param now
  * the present. @param output what to do. */
-void takeOrderAnswers(Host &host, const std::string &from, wire::OrderAnswersT answers, const Now &now, HostOutput &output);
+void takeOrderAnswers(Host &host, const std::string &from, wire::OrderAnswersT &&answers, const Now &now, HostOutput &output);
 
 /** Takes other seeds. @param host the host. @param seeds the control hosts now named. @param output what to do. */
 void takeSeeds(Host &host, const std::vector<std::string> &seeds, HostOutput &output);
--- a/Source/deployment/hostdelivery.cpp
+++ b/Source/deployment/hostdelivery.cpp
@@ -26,7 +26,7 @@
 }
 }
 
-void takeOrderAnswers(Host &host, const std::string &from, wire::OrderAnswersT answers, const Now &now, HostOutput &output)
+void takeOrderAnswers(Host &host, const std::string &from, wire::OrderAnswersT &&answers, const Now &now, HostOutput &output)
 {
     if (answers.origin != host.couriers.origin) {
         return; // Meant for an earlier process of this host, whose calls had the same numbers.
--- a/Source/deployment/orderwire.cpp
+++ b/Source/deployment/orderwire.cpp
@@ -127,7 +127,7 @@
     return answer;
 }
 
-UpstreamReply decodeAnswer(wire::OrderAnswerT answer)
+UpstreamReply decodeAnswer(wire::OrderAnswerT &&answer)
 {
     UpstreamReply reply;
     reply.id = answer.id;
--- a/Source/deployment/orderwire.h
+++ b/Source/deployment/orderwire.h
@@ -15,5 +15,5 @@
 wire::OrderAnswerT encodeAnswer(const UpstreamReply &reply);
 
 /** @param answer an answer from the host that delivered the order. @return the upstream's reply; without an answer where its kind is unknown here. */
-UpstreamReply decodeAnswer(wire::OrderAnswerT answer);
+UpstreamReply decodeAnswer(wire::OrderAnswerT &&answer);
 }
