--- a/Source/deployment/placing.h
+++ b/Source/deployment/placing.h
@@ -60,8 +60,7 @@
 /** @param attempt a step to place. @param room how many tasks there is room for. @return whether that is enough to place any. */
 bool isEnough(const Attempt &attempt, std::size_t room);
 
-/** @param attempt a step to place. @param ticket what the advice service gave. @param life an upstream. @param now the present. @return whether it is valid
- * there. */
+/** @param ticket what the advice service gave. @param life an upstream. @param now the present. @return whether it holds there long enough to be used. */
 bool isValid(const Ticket &ticket, const upstream::Life &life, const Now &now);
 
 /**
