deployment: A leader without its lease names nobody, and leaders of earlier terms are passed over

Ruled out: the number of voters (the other half had elected), processor time (the new leader's load lines were regular). Change: a control host that leads without its lease names no leader; replies about the leader state their term, and entry hosts pass over an earlier one. Test: Deployment.ALeaderCutOffFromItsGroupHoldsNoCallersUp, seen failing first.

--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -130,6 +130,7 @@
     std::set<std::string> dialled;
     std::string toldLeader; ///< On hosts without a vote: who leads, as last told.
     std::uint64_t toldLeaderMs = 0;
+    std::uint64_t toldTerm = 0; ///< Highest term in which a leader was told.
     std::uint64_t nextTopologyMs = 0;
     std::uint64_t nextRepairMs = 0;
     std::map<Token, RoutedRequest> routed;
--- a/Source/deployment/hostrouting.cpp
+++ b/Source/deployment/hostrouting.cpp
@@ -19,7 +19,10 @@
 wire::ReplyT topologyOf(const Host &host, const Now &now)
 {
     wire::ReplyT reply;
-    reply.leader = leaderOf(host, now);
+    // A leader without its lease may have a successor already: it names nobody, so that who asks turns to the others.
+    const bool unsure = host.node && host.node->leader == host.options.host && !decides(host, now);
+    reply.leader = unsure ? std::string() : leaderOf(host, now);
+    reply.term = host.node ? host.node->term : 0;
     reply.revision = host.state.plan.version;
     for (const std::string &name : host.controlHosts) {
         auto entry = std::make_unique<wire::HostEntryT>();
@@ -53,15 +56,24 @@
     return reason == model::Reason::NoLeader || reason == model::Reason::LeadershipLost;
 }
 
+/** Notes who leads, unless the reply is of an earlier term: hosts that are cut off with an old leader go on naming it. */
+void noteLeader(Host &host, const wire::ReplyT &reply, const Now &now)
+{
+    const bool outdated = reply.term != 0 && reply.term < host.toldTerm; // Answers of a host that decides state no term.
+    if (host.node || reply.leader.empty() || outdated) {
+        return;
+    }
+    host.toldLeader = reply.leader;
+    host.toldLeaderMs = now.steadyMs;
+    host.toldTerm = std::max(host.toldTerm, reply.term);
+}
+
 void takeTopology(Host &host, const wire::ReplyT &reply, const Now &now, HostOutput &output)
 {
     for (const auto &entry : reply.hosts) {
         host.controlHosts.insert(entry->host);
     }
-    if (!reply.leader.empty()) {
-        host.toldLeader = reply.leader;
-        host.toldLeaderMs = now.steadyMs;
-    }
+    noteLeader(host, reply, now);
     internal::refreshDials(host, output);
 }
 
@@ -148,10 +160,7 @@
     RoutedRequest &routed = host.routed.at(token);
     routed.call = 0;
     const auto reason = static_cast<model::Reason>(reply.error);
-    if (!reply.leader.empty() && !host.node) {
-        host.toldLeader = reply.leader;
-        host.toldLeaderMs = now.steadyMs;
-    }
+    noteLeader(host, reply, now);
     if (isRetryable(reason)) {
         routed.maybeTaken = routed.maybeTaken || reason == model::Reason::LeadershipLost;
         if (!host.node && reply.leader.empty()) {
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -501,6 +501,26 @@
     CHECK_EQUAL(std::string(), brokenText(fleet));
 }
 
+/** The leader is cut off from the other control hosts, and callers' hosts still reach it: they went on handing it what it may not decide. */
+TEST_CASE(Deployment, ALeaderCutOffFromItsGroupHoldsNoCallersUp)
+{
+    Fleet fleet({});
+    settle(fleet);
+    CHECK(fleet.putPlan(1, 2, false));
+    const std::string old = fleet.leader()->id;
+    for (const char *other : {"c0", "c1", "c2"}) {
+        if (old != other) {
+            fleet.cut(old, other, true);
+        }
+    }
+    fleet.run(3000);
+    const deployment::Token token = fleet.submit("/0/j1", {makeStep(1, 1000, 500)});
+    fleet.run(1500);
+    CHECK(fleet.answer(token).answered);
+    CHECK_EQUAL(std::uint16_t{0}, fleet.answer(token).reply.error);
+    CHECK_EQUAL(std::string(), brokenText(fleet));
+}
+
 TEST_CASE(Deployment, CouriersDeliverTheOrdersOfTheLeader)
 {
     Fleet fleet(withCouriers());
