deployment: Share what stood twice, drop what nothing reads

Cause: a last reading of the whole change. Behaviour stays as it is. Change: withMember() stands once, in consensus; endLife() and lapse() give up runs through loseRuns(), and six places release a run through releaseRun(); whether there is room to spare is worked out once until something is placed, not for each step that is too late in each pass; a listed run asks the small set of waiting jobs before it looks its job up. Dropped: Life::registering, Life::departAtMs, OpenCall::lookedEnd, Run::percent (written, never read), takeBeat's state. Run::percentAtMs held the time of the first order; it is firstOrderedAtMs now.

--- a/Source/consensus/membership.cpp
+++ b/Source/consensus/membership.cpp
@@ -1,6 +1,7 @@
 #include "consensus/membership.h"
 
 #include <algorithm>
+#include <memory>
 
 namespace rosemaryturn::consensus
 {
@@ -49,4 +50,19 @@
     };
     return missing(before, after) + missing(after, before) <= 1;
 }
+
+wire::MembershipT withMember(const wire::MembershipT &membership, const wire::MemberT &changed)
+{
+    wire::MembershipT result;
+    bool placed = false;
+    for (const auto &member : membership.members) {
+        const bool same = member->host == changed.host;
+        result.members.push_back(std::make_unique<wire::MemberT>(same ? changed : *member));
+        placed = placed || same;
+    }
+    if (!placed) {
+        result.members.push_back(std::make_unique<wire::MemberT>(changed));
+    }
+    return result;
+}
 }
--- a/Source/consensus/membership.h
+++ b/Source/consensus/membership.h
@@ -39,4 +39,7 @@
  * @return true when their voting members differ by one at most, so that any two majorities overlap.
  */
 bool isSingleStep(const wire::MembershipT &before, const wire::MembershipT &after);
+
+/** @param membership the members of a group. @param changed a member. @return the members with it, in place of the one on its host if there is one. */
+wire::MembershipT withMember(const wire::MembershipT &membership, const wire::MemberT &changed);
 }
--- a/Source/control/hostgroups.cpp
+++ b/Source/control/hostgroups.cpp
@@ -381,21 +381,6 @@
     }
     return std::nullopt;
 }
-
-wire::MembershipT withMember(const wire::MembershipT &membership, const wire::MemberT &changed)
-{
-    wire::MembershipT result;
-    bool placed = false;
-    for (const auto &member : membership.members) {
-        const bool same = member->host == changed.host;
-        result.members.push_back(std::make_unique<wire::MemberT>(same ? changed : *member));
-        placed = placed || same;
-    }
-    if (!placed) {
-        result.members.push_back(std::make_unique<wire::MemberT>(changed));
-    }
-    return result;
-}
 }
 
 void repairMembership(Host &host, consensus::Node &node, const Now &now, HostOutput &result)
@@ -410,7 +395,7 @@
             continue;
         }
         consensus::Output output;
-        if (consensus::proposeMembership(node, withMember(node.membership, *step), now.monotonicMs, output) != 0) {
+        if (consensus::proposeMembership(node, consensus::withMember(node.membership, *step), now.monotonicMs, output) != 0) {
             runGroup(host, node, std::move(output), now, result);
         }
         return; // One change at a time.
--- a/Source/deployment/hostmembership.cpp
+++ b/Source/deployment/hostmembership.cpp
@@ -10,21 +10,6 @@
 /** Time between two looks at who belongs to the group. */
 constexpr std::uint64_t repairEveryMs = 200;
 
-wire::MembershipT withMember(const wire::MembershipT &membership, const wire::MemberT &changed)
-{
-    wire::MembershipT result;
-    bool placed = false;
-    for (const auto &member : membership.members) {
-        const bool same = member->host == changed.host;
-        result.members.push_back(std::make_unique<wire::MemberT>(same ? changed : *member));
-        placed = placed || same;
-    }
-    if (!placed) {
-        result.members.push_back(std::make_unique<wire::MemberT>(changed));
-    }
-    return result;
-}
-
 wire::MembershipT without(const wire::MembershipT &membership, const std::string &host)
 {
     wire::MembershipT result;
@@ -59,7 +44,7 @@
         learner.incarnation = peer.incarnation;
         learner.role = wire::MemberRole::Learner;
         learner.durable = true;
-        return withMember(host.node->membership, learner);
+        return consensus::withMember(host.node->membership, learner);
     }
     return std::nullopt;
 }
@@ -91,7 +76,7 @@
     }
     wire::MemberT voter = *ready.front();
     voter.role = wire::MemberRole::Voter;
-    return withMember(host.node->membership, voter);
+    return consensus::withMember(host.node->membership, voter);
 }
 
 std::optional<wire::MembershipT> removeSilent(const Host &host, const Now &now)
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -242,7 +242,6 @@
     job::TaskRef task;
     std::uint32_t run = 0;
     std::uint64_t sentMs = 0;
-    std::uint64_t lookedEnd = 0;
 };
 
 /** Upper bounds of the parts of a latency histogram, in milliseconds: from one trip within a region to ten seconds. */
@@ -361,7 +360,7 @@
 
 // leaderupstreams.cpp
 void addLife(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now);
-void takeBeat(Leader &leader, const job::State &state, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output);
+void takeBeat(Leader &leader, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output);
 void takeLeave(Leader &leader, Token token, const std::string &id, const Now &now, LeaderOutput &output);
 void followUpstreamRecord(Leader &leader, const job::State &state, const wire::UpstreamSeenT &record, const Now &now);
 void tickLives(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
@@ -373,6 +372,7 @@
 void startPlaced(Leader &leader, const job::State &state, const wire::RunsPlacedT &record, const Now &now, LeaderOutput &output);
 void followEnds(Leader &leader, const job::State &state, const wire::RunsEndedT &record, const Now &now, LeaderOutput &output);
 void stopJob(Leader &leader, const job::State &state, const job::Job &job, const Now &now, LeaderOutput &output);
+void releaseRun(Leader &leader, upstream::Life &life, job::TaskRef task);
 void proposeEnd(const upstream::Run &run, wire::RunEnd end, const std::string &checkpoint, wire::RunsEndedT &record);
 void proposeEnds(wire::RunsEndedT record, const Now &now, LeaderOutput &output);
 void noteBegun(Leader &leader, const job::State &state, std::uint64_t number);
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -210,7 +210,7 @@
         if (job.steps[step]->after.empty()) {
             WaitingStep waiting;
             waiting.name = stepName(job.id, 0, step);
-            askAdvice(leader, {waiting, *job.steps[step], queue, leader.advice[waiting.name], spotsOf(floor, queue.service)}, now, output);
+            askAdvice(leader, {waiting, *job.steps[step], queue, leader.advice[waiting.name], floor[queue.service].spots}, now, output);
         }
     }
 }
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -197,15 +197,18 @@
 }
 
 /** @return whether the upstreams have room to spare for a step that is too late. */
-bool isRoomToSpare(std::span<const Spot> spots)
+bool isRoomToSpare(ServiceFloor &floor)
 {
-    model::Resources used;
-    model::Resources whole;
-    for (const Spot &spot : spots) {
-        used = used + spot.life->used;
-        whole = whole + spot.life->capacity;
+    if (!floor.roomToSpare) {
+        model::Resources used;
+        model::Resources whole;
+        for (const Spot &spot : floor.spots) {
+            used = used + spot.life->used;
+            whole = whole + spot.life->capacity;
+        }
+        floor.roomToSpare = policy::isRoomToSpare(used, whole);
     }
-    return policy::isRoomToSpare(used, whole);
+    return *floor.roomToSpare;
 }
 
 /** Tries to place a step. @return whether it was tried in vain. */
@@ -216,6 +219,7 @@
     if (queue == nullptr) {
         return false; // No configuration sends the queue anywhere.
     }
+    ServiceFloor &upstreams = floor[queue->service];
     Advice &advice = leader.advice[waiting.name];
     advice.usedMs = now.steadyMs;
     // Without a ticket there is nothing to try until the answer comes; a backlog whose tickets ran out must not use up the pass.
@@ -223,18 +227,22 @@
     const bool nothingKnown = ticketless && advice.call != 0;
     if (nothingKnown || (now.steadyMs < waiting.tryAgainMs && advice.answeredMs < leader.placedBeforeMs)) {
         leader.placeSoon = leader.placeSoon || !nothingKnown;
-        markKept(waiting, spotsOf(floor, queue->service));
+        markKept(waiting, upstreams.spots);
         return false;
     }
-    Attempt attempt{waiting, *job.spec.steps[waiting.ref.step], *queue, advice, spotsOf(floor, queue->service)};
+    Attempt attempt{waiting, *job.spec.steps[waiting.ref.step], *queue, advice, upstreams.spots};
     const bool tooLate = policy::prospectOf(waiting.key, static_cast<std::int64_t>(now.steadyMs)) == policy::Prospect::TooLate;
-    if (tooLate && !isRoomToSpare(attempt.spots)) {
+    if (tooLate && !isRoomToSpare(upstreams)) {
         leader.placeSoon = true;
         waiting.tryAgainMs = now.steadyMs + tryAgainMs;
         waiting.kept.clear();
         return false;
     }
+    const std::size_t before = waiting.unplaced.size();
     tryPlace(leader, state, attempt, now, record, output);
+    if (waiting.unplaced.size() < before) {
+        upstreams.roomToSpare.reset();
+    }
     const bool askedOnly = ticketless && advice.call != 0;
     return !waiting.unplaced.empty() && !askedOnly;
 }
@@ -251,19 +259,13 @@
         }
         if (service == nullptr || *service != life.seen.service) {
             service = &life.seen.service;
-            list = &floor[*service];
+            list = &floor[*service].spots;
         }
         list->push_back({&life});
     }
     return floor;
 }
 
-std::span<Spot> spotsOf(Floor &floor, const std::string &service)
-{
-    const auto found = floor.find(service);
-    return found == floor.end() ? std::span<Spot>() : std::span<Spot>(found->second);
-}
-
 model::Resources needOf(const wire::StepSpecT &step)
 {
     // A step that fills takes processors that others leave unused; only its memory is set aside.
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -213,7 +213,7 @@
         tellLength(leader, state, token, request, output);
         return;
     case wire::Operation::UpstreamBeat:
-        internal::takeBeat(leader, state, token, *request.beat, now, output);
+        internal::takeBeat(leader, token, *request.beat, now, output);
         return;
     case wire::Operation::UpstreamLeave:
         internal::takeLeave(leader, token, request.worker, now, output);
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -30,7 +30,7 @@
     if (job != state.jobs.end()) {
         call.job = job->second.spec.id;
     }
-    leader.open[call.id] = {kind, life.seen.number, life.seen.born, run.task, run.number, now.steadyMs, 0};
+    leader.open[call.id] = {kind, life.seen.number, life.seen.born, run.task, run.number, now.steadyMs};
     run.orderedAtMs = now.steadyMs;
     run.orderOpen = true;
     return call;
@@ -74,7 +74,7 @@
     }
     // A gang whose members don't all get going is ended before its first members give up waiting for the others.
     const std::uint64_t patienceMs = leader.options.gangWaitMs / 2;
-    if (run.orders > 1 && run.startedAtMs == 0 && now.steadyMs > run.percentAtMs + patienceMs && isGang(state, run.task)) {
+    if (run.orders > 1 && run.startedAtMs == 0 && now.steadyMs > run.firstOrderedAtMs + patienceMs && isGang(state, run.task)) {
         breakGang(leader, state, run.task, now, output);
         return;
     }
@@ -88,7 +88,7 @@
 {
     const job::Job &job = state.jobs.at(run.task.job);
     if (run.orders == 0) {
-        run.percentAtMs = now.steadyMs;
+        run.firstOrderedAtMs = now.steadyMs;
     }
     UpstreamCall call = makeOrder(leader, state, CallKind::Start, life, run, now);
     call.payload = job.spec.payload;
@@ -141,8 +141,7 @@
             ++leader.counters.runsNever;
             proposeEnd(run->second, wire::RunEnd::Never, {}, never);
         }
-        upstream::removeRun(life->second, task);
-        leader.placed.erase(task);
+        releaseRun(leader, life->second, task);
         leader.placeSoon = true;
     }
     proposeEnds(std::move(never), now, output);
@@ -150,8 +149,12 @@
 
 void noteBegun(Leader &leader, const job::State &state, std::uint64_t number)
 {
+    // Asked for every run that a look lists; few of their jobs wait.
+    if (leader.queuedJobs.erase(number) == 0) {
+        return;
+    }
     const auto job = state.jobs.find(number);
-    if (job != state.jobs.end() && leader.queuedJobs.erase(number) > 0) {
+    if (job != state.jobs.end()) {
         --leader.queued[{job->second.spec.host, job->second.spec.prefix}];
     }
 }
@@ -210,6 +213,13 @@
     }
 }
 
+/** Gives the room of a run back and forgets where it was placed. @param task by value: it may be the name that the run itself holds. */
+void releaseRun(Leader &leader, Life &life, job::TaskRef task)
+{
+    upstream::removeRun(life, task);
+    leader.placed.erase(task);
+}
+
 void proposeEnd(const Run &run, wire::RunEnd end, const std::string &checkpoint, wire::RunsEndedT &record)
 {
     auto entry = std::make_unique<wire::RunEndedT>();
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -41,7 +41,6 @@
 {
     output.decisions.push_back({"upstream-reborn", seen.id, "born=" + std::to_string(seen.born) + " before=" + std::to_string(life.seen.born)});
     life.drainingSinceMs = 0;
-    life.departAtMs = 0;
     takeShape(life, seen, now);
     life.clock = {};
     life.recordedEnd = life.proposedEnd = life.acknowledgedEnd = 0;
@@ -61,29 +60,43 @@
     proposeSeen(life, output);
 }
 
-/** Another process listens at the address: this life is over, and everything on it. */
-void endLife(Leader &leader, Life &life, const char *cause, const Now &now, LeaderOutput &output)
+/** For a process that is known to be gone: nothing of it may run on. */
+constexpr std::uint64_t allTimeOver = UINT64_MAX;
+
+/**
+ * Gives up the runs of an upstream, but those that aren't ordered yet.
+ * @param leader what is known. @param life the upstream. @param overMs a run that may go on until this time or later is kept. @param now the present.
+ * @param output what to do.
+ * @return how many were given up.
+ */
+std::size_t loseRuns(Leader &leader, Life &life, std::uint64_t overMs, const Now &now, LeaderOutput &output)
 {
-    if (life.left && life.runs.empty()) {
-        return;
-    }
-    output.decisions.push_back({"upstream-gone", life.seen.id, std::string("cause=") + cause + " runs=" + std::to_string(life.runs.size())});
-    life.left = true;
-    life.read = false;
     wire::RunsEndedT record;
     std::vector<job::TaskRef> over;
     for (const auto &[task, run] : life.runs) {
-        if (run.phase != RunPhase::Recording) {
+        if (run.phase != RunPhase::Recording && overMs > run.mayRunUntilMs) {
             proposeEnd(run, wire::RunEnd::Lost, run.checkpoint, record);
             over.push_back(task);
         }
     }
     for (const job::TaskRef &task : over) {
-        upstream::removeRun(life, task);
-        leader.placed.erase(task);
+        releaseRun(leader, life, task);
     }
-    leader.counters.runsLost += record.ends.size();
+    leader.counters.runsLost += over.size();
     proposeEnds(std::move(record), now, output);
+    return over.size();
+}
+
+/** Another process listens at the address: this life is over, and everything on it. */
+void endLife(Leader &leader, Life &life, const char *cause, const Now &now, LeaderOutput &output)
+{
+    if (life.left && life.runs.empty()) {
+        return;
+    }
+    output.decisions.push_back({"upstream-gone", life.seen.id, std::string("cause=") + cause + " runs=" + std::to_string(life.runs.size())});
+    life.left = true;
+    life.read = false;
+    loseRuns(leader, life, allTimeOver, now, output);
 }
 
 void endLivesAt(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now, LeaderOutput &output)
@@ -132,7 +145,7 @@
         call.leaseUntilMs = upstream::grantLease(life, leader.options.lease, now.steadyMs);
     }
     call.timeoutMs = call.waitMs + leader.options.lookTimeoutMs;
-    leader.open[call.id] = {CallKind::Look, life.seen.number, life.seen.born, {}, 0, now.steadyMs, life.recordedEnd};
+    leader.open[call.id] = {CallKind::Look, life.seen.number, life.seen.born, {}, 0, now.steadyMs};
     life.looking = true;
     life.lookSentMs = now.steadyMs;
     life.acknowledgedEnd = call.acknowledge;
@@ -143,26 +156,11 @@
 /** Every lease on it ran out while it could not be reached. */
 void lapse(Leader &leader, Life &life, const Now &now, LeaderOutput &output)
 {
-    wire::RunsEndedT record;
-    std::vector<job::TaskRef> over;
-    for (const auto &[task, run] : life.runs) {
-        if (run.phase != RunPhase::Recording && now.steadyMs > run.mayRunUntilMs) {
-            proposeEnd(run, wire::RunEnd::Lost, run.checkpoint, record);
-            over.push_back(task);
-        }
+    const std::size_t lost = loseRuns(leader, life, now.steadyMs, now, output);
+    if (lost > 0) {
+        output.decisions.push_back(
+            {"leases-over", life.seen.id, "runs=" + std::to_string(lost) + " silentMs=" + std::to_string(now.steadyMs - std::min(now.steadyMs, life.heardMs))});
     }
-    if (over.empty()) {
-        return;
-    }
-    output.decisions.push_back({"leases-over",
-                                life.seen.id,
-                                "runs=" + std::to_string(over.size()) + " silentMs=" + std::to_string(now.steadyMs - std::min(now.steadyMs, life.heardMs))});
-    for (const job::TaskRef &task : over) {
-        upstream::removeRun(life, task);
-        leader.placed.erase(task);
-    }
-    leader.counters.runsLost += over.size();
-    proposeEnds(std::move(record), now, output);
 }
 
 bool needsLook(const Life &life, const Now &now)
@@ -190,9 +188,8 @@
     leader.lives.insert_or_assign(seen.number, std::move(life));
 }
 
-void takeBeat(Leader &leader, const job::State &state, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output)
+void takeBeat(Leader &leader, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output)
 {
-    static_cast<void>(state);
     output.answers.push_back({token, {}});
     const wire::UpstreamSeenT &seen = *beat.seen;
     const auto known = leader.liveById.find(seen.id);
@@ -223,9 +220,6 @@
     life.sequence = beat.sequence;
     life.heardMs = now.steadyMs;
     life.left = false;
-    if (seen.draining && beat.remainingMs > 0) {
-        life.departAtMs = now.steadyMs + beat.remainingMs;
-    }
     if (!life.clock.known || now.steadyMs > life.clock.atMs + staleClockMs) {
         upstream::noteClock(life, beat.clockMs, now.steadyMs);
     }
@@ -302,10 +296,6 @@
     if (!listed.checkpoint.empty()) {
         run.checkpoint = listed.checkpoint;
     }
-    if (listed.percent != run.percent || run.percentAtMs == 0) {
-        run.percent = listed.percent;
-        run.percentAtMs = now.steadyMs;
-    }
     if (run.phase == RunPhase::Starting || run.phase == RunPhase::Inherited) {
         run.phase = RunPhase::Running;
         run.startedAtMs = now.steadyMs;
@@ -384,8 +374,7 @@
                                         "step=" + std::to_string(task.step) + " index=" + std::to_string(task.index) + " run=" + std::to_string(end.run)
                                             + " end=" + wire::EnumNameRunEnd(end.end) + " upstream=" + life.seen.id});
         }
-        upstream::removeRun(life, task); // Its room is free with the listed end.
-        leader.placed.erase(task);
+        releaseRun(leader, life, task); // Its room is free with the listed end.
         leader.placeSoon = true;
     }
     if (life.proposedEnd > life.recordedEnd && !ends.empty()) {
@@ -427,8 +416,7 @@
     }
     for (const job::TaskRef &task : over) {
         output.decisions.push_back({"run-absent", life.seen.id, "job=" + std::to_string(task.job) + " index=" + std::to_string(task.index)});
-        upstream::removeRun(life, task);
-        leader.placed.erase(task);
+        releaseRun(leader, life, task);
         leader.placeSoon = true;
     }
     proposeEnds(std::move(record), now, output);
@@ -528,9 +516,7 @@
     wire::RunsEndedT record;
     proposeEnd(run, wire::RunEnd::Never, {}, record);
     proposeEnds(std::move(record), now, output);
-    const job::TaskRef task = run.task;
-    upstream::removeRun(life, task);
-    leader.placed.erase(task);
+    releaseRun(leader, life, run.task);
 }
 
 void takeStop(Run &run, CallFate fate, const Now &now)
--- a/Source/deployment/placing.h
+++ b/Source/deployment/placing.h
@@ -4,6 +4,7 @@
 #include "policy/spread.h"
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -19,8 +20,15 @@
     bool kept = false; ///< Kept free for a gang earlier in the order.
 };
 
-/** The upstreams that may take new work, by service, each list ordered by their number. */
-using Floor = std::unordered_map<std::string, std::vector<Spot>>;
+/** The upstreams of a service that may take new work. */
+struct ServiceFloor
+{
+    std::vector<Spot> spots; ///< Ordered by the number of the upstream.
+    std::optional<bool> roomToSpare; ///< As found since the last placement; empty for not asked yet.
+};
+
+/** The upstreams that may take new work, by service. */
+using Floor = std::unordered_map<std::string, ServiceFloor>;
 
 /** What one attempt to place a step needs to know. */
 struct Attempt
@@ -42,9 +50,6 @@
 /** @param leader what is known. @param now the present. @return the upstreams that may take new work. */
 Floor gatherFloor(Leader &leader, const Now &now);
 
-/** @param floor the upstreams. @param service a service. @return its upstreams. */
-std::span<Spot> spotsOf(Floor &floor, const std::string &service);
-
 /** @param step a step. @return the room that each of its tasks holds. */
 model::Resources needOf(const wire::StepSpecT &step);
 
--- a/Source/upstream/life.h
+++ b/Source/upstream/life.h
@@ -38,8 +38,7 @@
     bool gang = false; ///< Its members end together.
     std::string ticket; ///< What the advice service gave for it; empty where none is needed.
     std::string checkpoint; ///< Latest that the upstream reported.
-    std::uint32_t percent = 0; ///< Progress that the upstream reported.
-    std::uint64_t percentAtMs = 0; ///< When that progress was first reported.
+    std::uint64_t firstOrderedAtMs = 0; ///< When its first start was sent.
     std::uint64_t orderedAtMs = 0; ///< When the latest order for it was sent.
     std::uint64_t startedAtMs = 0; ///< When it was confirmed.
     std::uint32_t orders = 0; ///< Starts sent.
@@ -67,9 +66,7 @@
     std::uint64_t sequence = 0; ///< Of the latest heartbeat.
     std::uint64_t heardMs = 0; ///< When it last said anything.
     std::uint64_t drainingSinceMs = 0;
-    std::uint64_t departAtMs = 0; ///< When a draining upstream may be gone; 0 for unknown.
     bool registered = false; ///< Its record is committed.
-    bool registering = false;
     bool read = false; ///< It took the own fence and its lists were read.
     bool silent = false; ///< The latest look got no answer; it is looked at without renewing its lease.
     bool left = false; ///< It said good-bye.
