deployment: Ask for upstreams that have room for a gang now

Such a step had one request for advice at a time, and asked about further upstreams only while those allowed could not have held it *if idle*. By the time the answer came others had taken the room; the step then waited until its 10 to 30 allowed upstreams had room again at once, and about upstreams with room now nobody was asked.

Change: policy::upstreamsToAskFor() counts what fits now on allowed upstreams with valid tickets and on those of pending requests. It names expired tickets first, then others by the room they have, until one and a half times the gang is expected to fit, and nobody while the gang fits nowhere. A gang has up to four requests at a time, each through another adviser; beyond the first only while half of the advisers are free. Tickets are renewed 700 ms before they expire. A bounded `not-placed` line tells what a waiting step lacks.

Ruled out before (issue): longer requests, a higher limit for steps that are too late.

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -191,7 +191,7 @@
 {
     std::map<std::uint32_t, Ticket> allowed; ///< By upstream.
     std::set<std::uint32_t> denied;
-    std::uint64_t pendingCall = 0; ///< Id of the pending request; 0 for none.
+    std::set<std::uint64_t> pendingCalls; ///< Ids of the pending requests; more than one for gangs only.
     std::uint64_t nextRequestMs = 0; ///< No request is sent before this time.
     std::uint64_t lastUsedMs = 0; ///< Time of the latest use.
     std::uint64_t answeredMs = 0; ///< Time of the latest reply.
@@ -318,6 +318,7 @@
     std::uint64_t nextCleanupMs = 0;
     std::uint64_t nextLoadReportMs = 0;
     std::uint64_t nextDueScanMs = 0;
+    std::uint64_t nextWaitReportMs = 0; ///< Earliest time of the next report of a step that wasn't placed.
     LeaderCounters counters;
 };
 
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -1,5 +1,7 @@
 #include "deployment/placing.h"
 
+#include "policy/gangadvice.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -33,6 +35,18 @@
 constexpr std::uint64_t adviceRetentionMs = 30000;
 /** Maximum number of upstreams in a request. */
 constexpr std::size_t maxUpstreamsPerRequest = 100;
+/** Maximum number of pending requests for one gang, each sent through another adviser. */
+constexpr std::size_t maxRequestsPerGang = 4;
+/** Remaining validity below which a ticket is renewed: about the time of a request. */
+constexpr std::uint64_t ticketRenewalMs = 700;
+
+/** @return the share of the requested upstreams that the advice service is expected to allow. */
+double allowedShareOf(const Leader &leader, const wire::QueueSpecT &queue)
+{
+    constexpr double minShare = 0.05;
+    const auto share = leader.allowedShares.find(queue.name);
+    return share == leader.allowedShares.end() ? defaultAllowedShare : std::max(share->second, minShare);
+}
 
 /** @return how many upstreams to name so that the allowed ones are expected to hold the step, by their free capacity. */
 std::size_t requestSizeFor(const Leader &leader, const PlacementAttempt &attempt, std::span<PlacementCandidate *const> unrequested,
@@ -42,8 +56,7 @@
     need.task = resourcesPerTask(attempt.step);
     need.count = attempt.step.count;
     need.maxPerUpstream = attempt.step.mostPerUpstream;
-    const auto share = leader.allowedShares.find(attempt.queue.name);
-    const double allowed = share == leader.allowedShares.end() ? defaultAllowedShare : std::max(share->second, 0.05);
+    const double allowed = allowedShareOf(leader, attempt.queue);
     double capacity = 0;
     for (const PlacementCandidate *candidate : known) {
         capacity += policy::taskCapacity(need, upstreamCandidateFor(attempt, *candidate));
@@ -155,18 +168,14 @@
     });
     return isEnoughCapacity(attempt, std::min<std::uint64_t>(capacity, need.count));
 }
-}
 
-void requestAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output)
+/** Sends a request through the adviser that is expected to answer first. @param requested the upstreams to name; nothing is sent if it is empty. */
+void sendAdviceRequest(Leader &leader, const PlacementAttempt &attempt, std::span<PlacementCandidate *const> requested, const Now &now, LeaderOutput &output)
 {
-    Advice &advice = attempt.advice;
-    if (advice.pendingCall != 0 || now.monotonicMs < advice.nextRequestMs || leader.advisers.empty()) {
-        return;
-    }
-    const std::vector<PlacementCandidate *> requested = upstreamsToRequest(leader, attempt);
-    if (requested.empty()) {
+    if (requested.empty() || leader.advisers.empty()) {
         return;
     }
+    Advice &advice = attempt.advice;
     const double costMs = attempt.queue.adviceMs + attempt.queue.advicePerUpstreamMs * static_cast<double>(requested.size());
     Adviser &adviser = fastestAdviser(leader, costMs, now);
     adviser.busyUntilMs = std::max(adviser.busyUntilMs, now.monotonicMs) + static_cast<std::uint64_t>(std::ceil(costMs));
@@ -180,23 +189,80 @@
         call.upstreams.push_back(candidate->state->registration.id);
         open.upstreams.push_back(candidate->state->registration.number);
     }
-    advice.pendingCall = call.id;
+    advice.pendingCalls.insert(call.id);
     advice.lastUsedMs = now.monotonicMs;
     leader.pendingAdvice.emplace(call.id, std::move(open));
     ++leader.counters.adviceCalls;
     output.advice.push_back(std::move(call));
 }
 
+/** @return the upstreams that the pending requests of a step name. */
+std::set<std::uint32_t> pendingUpstreams(const Leader &leader, const Advice &advice)
+{
+    std::set<std::uint32_t> pending;
+    for (const std::uint64_t id : advice.pendingCalls) {
+        const auto call = leader.pendingAdvice.find(id);
+        if (call != leader.pendingAdvice.end()) {
+            pending.insert(call->second.upstreams.begin(), call->second.upstreams.end());
+        }
+    }
+    return pending;
+}
+
+/** Requests advice on upstreams that have capacity for a gang now, beside the requests that are pending for it. */
+void requestAdviceForGang(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output)
+{
+    if (attempt.advice.pendingCalls.size() >= maxRequestsPerGang) {
+        return;
+    }
+    const std::set<std::uint32_t> pending = pendingUpstreams(leader, attempt.advice);
+    const policy::StepDemand need = stepDemandFor(attempt);
+    std::vector<policy::AdviceCandidate> candidates;
+    std::vector<PlacementCandidate *> sources; ///< In the order of the candidates, by number.
+    forEachEligible(attempt, [&](PlacementCandidate &candidate, AdviceStatus status, const Ticket *ticket) {
+        if (status == AdviceStatus::Denied) {
+            return;
+        }
+        const std::uint32_t number = candidate.state->registration.number;
+        const Now renewal{now.monotonicMs + ticketRenewalMs, now.wallMs};
+        const bool valid = ticket != nullptr && isValid(*ticket, *candidate.state, renewal);
+        const auto allowed = valid ? policy::AdviceKnowledge::Valid : policy::AdviceKnowledge::Expired;
+        candidates.push_back({number,
+                              status == AdviceStatus::Allowed ? allowed : policy::AdviceKnowledge::Unknown,
+                              pending.count(number) > 0,
+                              policy::taskCapacity(need, upstreamCandidateFor(attempt, candidate))});
+        sources.push_back(&candidate);
+    });
+    const policy::AdviceDemand demand{need.count, allowedShareOf(leader, attempt.queue), maxUpstreamsPerRequest};
+    std::vector<PlacementCandidate *> requested;
+    for (const std::uint32_t number : policy::upstreamsToAskFor(demand, candidates)) {
+        requested.push_back(*std::lower_bound(sources.begin(), sources.end(), number, [](const PlacementCandidate *candidate, std::uint32_t wanted) {
+            return candidate->state->registration.number < wanted;
+        }));
+    }
+    sendAdviceRequest(leader, attempt, requested, now, output);
+}
+}
+
+void requestAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output)
+{
+    if (attempt.advice.pendingCalls.empty() && now.monotonicMs >= attempt.advice.nextRequestMs) {
+        sendAdviceRequest(leader, attempt, upstreamsToRequest(leader, attempt), now, output);
+    }
+}
+
 void requestAdviceIfUseful(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output)
 {
-    if (attempt.advice.pendingCall != 0 || now.monotonicMs < attempt.advice.nextRequestMs) {
+    if (now.monotonicMs < attempt.advice.nextRequestMs) {
         return;
     }
     const bool tooLate = policy::timelinessOf(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
-    if (tooLate && advisersBusy(leader, now)) {
+    if ((tooLate || !attempt.advice.pendingCalls.empty()) && advisersBusy(leader, now)) {
         return;
     }
-    if (hasCapacityWithTickets(attempt) || needsMoreAdvice(attempt)) {
+    if (attempt.step.gang) {
+        requestAdviceForGang(leader, attempt, now, output);
+    } else if (hasCapacityWithTickets(attempt) || needsMoreAdvice(attempt)) {
         requestAdvice(leader, attempt, now, output);
     }
 }
@@ -219,7 +285,7 @@
 void expireUnusedAdvice(Leader &leader, const Now &now)
 {
     std::erase_if(leader.advice, [&now](const auto &entry) {
-        return entry.second.pendingCall == 0 && entry.second.lastUsedMs + adviceRetentionMs < now.monotonicMs;
+        return entry.second.pendingCalls.empty() && entry.second.lastUsedMs + adviceRetentionMs < now.monotonicMs;
     });
 }
 }
@@ -244,7 +310,7 @@
         return;
     }
     Advice &advice = entry->second;
-    advice.pendingCall = 0;
+    advice.pendingCalls.erase(reply.id);
     advice.answeredMs = now.monotonicMs;
     leader.placementNeeded = true;
     if (!reply.answered) {
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -143,6 +143,40 @@
     return std::min(first << std::min(waiting.failedAttempts, maxDoublings), maxRetryMs);
 }
 
+/** Logs why a step that has waited for a while isn't placed, for one step at a time. */
+void reportWait(Leader &leader, const PlacementAttempt &attempt, std::size_t usable, const Now &now, LeaderOutput &output)
+{
+    constexpr std::uint64_t minWaitMs = 1000;
+    constexpr std::uint64_t reportIntervalMs = 250;
+    const std::uint64_t waitedMs = now.monotonicMs - attempt.waiting.waitingSinceMs;
+    if (waitedMs < minWaitMs || now.monotonicMs < leader.nextWaitReportMs) {
+        return;
+    }
+    leader.nextWaitReportMs = now.monotonicMs + reportIntervalMs;
+    const policy::StepDemand need = stepDemandFor(attempt);
+    std::size_t allowed = 0;
+    std::size_t unknown = 0;
+    std::uint64_t fitsOnAllowed = 0;
+    std::uint64_t fitsOnUnknown = 0;
+    forEachEligible(attempt, [&](const PlacementCandidate &candidate, AdviceStatus status, const Ticket *) {
+        const std::uint32_t fits = policy::taskCapacity(need, upstreamCandidateFor(attempt, candidate));
+        allowed += status == AdviceStatus::Allowed ? 1 : 0;
+        unknown += status == AdviceStatus::Unknown ? 1 : 0;
+        fitsOnAllowed += status == AdviceStatus::Allowed ? fits : 0;
+        fitsOnUnknown += status == AdviceStatus::Unknown ? fits : 0;
+    });
+    const auto reserved = std::count_if(attempt.candidates.begin(), attempt.candidates.end(), [](const PlacementCandidate &candidate) {
+        return candidate.reserved;
+    });
+    output.decisions.push_back({"not-placed",
+                                attempt.waiting.name,
+                                "tasks=" + std::to_string(need.count) + " waitedMs=" + std::to_string(waitedMs) + " usable=" + std::to_string(usable)
+                                    + " allowed=" + std::to_string(allowed) + " fitsOnAllowed=" + std::to_string(fitsOnAllowed)
+                                    + " unknown=" + std::to_string(unknown) + " fitsOnUnknown=" + std::to_string(fitsOnUnknown)
+                                    + " reserved=" + std::to_string(reserved) + " upstreams=" + std::to_string(attempt.candidates.size())
+                                    + " advicePending=" + std::to_string(attempt.advice.pendingCalls.size())});
+}
+
 /** Places the tasks that fit, and requests tickets if only they are missing. */
 void tryPlace(Leader &leader, const job::State &state, PlacementAttempt &attempt, const Now &now, wire::RunsPlacedT &record, LeaderOutput &output)
 {
@@ -162,6 +196,7 @@
     if (attempt.waiting.unplaced.empty()) {
         return;
     }
+    reportWait(leader, attempt, candidates.size(), now, output);
     attempt.waiting.nextAttemptMs = now.monotonicMs + retryPauseMs(attempt.waiting);
     ++attempt.waiting.failedAttempts;
     if (attempt.queue.advised) {
@@ -225,7 +260,7 @@
     advice.lastUsedMs = now.monotonicMs;
     // Without a valid ticket an attempt fails until the reply arrives. A backlog whose tickets expired must not use up the pass.
     const bool ticketless = queue->advised && now.monotonicMs + ticketMarginMs >= advice.ticketsValidUntilMs;
-    const bool awaitsAdvice = ticketless && advice.pendingCall != 0;
+    const bool awaitsAdvice = ticketless && !advice.pendingCalls.empty();
     if (awaitsAdvice || (now.monotonicMs < waiting.nextAttemptMs && advice.answeredMs < leader.previousPlacementMs)) {
         leader.placementNeeded = leader.placementNeeded || !awaitsAdvice;
         markReserved(waiting, serviceCandidates.candidates);
@@ -244,7 +279,7 @@
     if (waiting.unplaced.size() < before) {
         serviceCandidates.hasSpareCapacity.reset();
     }
-    const bool requestedOnly = ticketless && advice.pendingCall != 0;
+    const bool requestedOnly = ticketless && !advice.pendingCalls.empty();
     return !waiting.unplaced.empty() && !requestedOnly;
 }
 }
--- /dev/null
+++ b/Source/policy/gangadvice.cpp
@@ -0,0 +1,50 @@
+#include "policy/gangadvice.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rosemaryturn::policy
+{
+namespace
+{
+/** Factor by which the expected capacity exceeds the gang: other steps take a part of it before the answer arrives. */
+constexpr double capacityMargin = 1.5;
+
+/** @return the members of the gang that an upstream is expected to take if it is asked about. */
+double expectedFit(const AdviceDemand &demand, const AdviceCandidate &candidate)
+{
+    return candidate.knowledge == AdviceKnowledge::Unknown ? demand.allowedShare * candidate.fitsNow : candidate.fitsNow;
+}
+}
+
+std::vector<std::uint32_t> upstreamsToAskFor(const AdviceDemand &demand, std::span<const AdviceCandidate> candidates)
+{
+    double expected = 0;
+    double reachable = 0;
+    std::vector<AdviceCandidate> order;
+    for (const AdviceCandidate &candidate : candidates) {
+        reachable += expectedFit(demand, candidate);
+        if (candidate.knowledge == AdviceKnowledge::Valid || candidate.pending) {
+            expected += expectedFit(demand, candidate);
+        } else if (candidate.fitsNow > 0) {
+            order.push_back(candidate);
+        }
+    }
+    if (reachable < demand.count) {
+        return {};
+    }
+    std::sort(order.begin(), order.end(), [](const AdviceCandidate &a, const AdviceCandidate &b) {
+        return std::tuple(a.knowledge != AdviceKnowledge::Expired, b.fitsNow, a.upstream)
+            < std::tuple(b.knowledge != AdviceKnowledge::Expired, a.fitsNow, b.upstream);
+    });
+    std::vector<std::uint32_t> named;
+    for (const AdviceCandidate &candidate : order) {
+        if (expected >= capacityMargin * demand.count || named.size() >= demand.maxNamed) {
+            break;
+        }
+        named.push_back(candidate.upstream);
+        expected += expectedFit(demand, candidate);
+    }
+    return named;
+}
+}
