deployment: Ask for room now for steps of single tasks, too

As with gangs, more were asked about only if those allowed couldn't hold the step when idle.

Change: policy::upstreamsToAskFor() serves all steps; parts of a step that isn't a gang start on what there is. The module is called adviceselection now. The rule by idle capacity is gone.

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -191,7 +191,7 @@
 {
     std::map<std::uint32_t, Ticket> allowed; ///< By upstream.
     std::set<std::uint32_t> denied;
-    std::set<std::uint64_t> pendingCalls; ///< Ids of the pending requests; more than one for gangs only.
+    std::set<std::uint64_t> pendingCalls; ///< Ids of the pending requests.
     std::uint64_t nextRequestMs = 0; ///< No request is sent before this time.
     std::uint64_t lastUsedMs = 0; ///< Time of the latest use.
     std::uint64_t answeredMs = 0; ///< Time of the latest reply.
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -1,6 +1,6 @@
 #include "deployment/placing.h"
 
-#include "policy/gangadvice.h"
+#include "policy/adviceselection.h"
 
 #include <algorithm>
 #include <cmath>
@@ -35,8 +35,8 @@
 constexpr std::uint64_t adviceRetentionMs = 30000;
 /** Maximum number of upstreams in a request. */
 constexpr std::size_t maxUpstreamsPerRequest = 100;
-/** Maximum number of pending requests for one gang, each sent through another adviser. */
-constexpr std::size_t maxRequestsPerGang = 4;
+/** Maximum number of pending requests for one step, each sent through another adviser. */
+constexpr std::size_t maxRequestsPerStep = 4;
 /** Remaining validity below which a ticket is renewed: about the time of a request. */
 constexpr std::uint64_t ticketRenewalMs = 700;
 
@@ -135,40 +135,6 @@
     return 2 * static_cast<std::size_t>(busy) > leader.advisers.size();
 }
 
-/** @return whether the allowed upstreams couldn't hold the step even if idle, and others haven't been requested. */
-bool needsMoreAdvice(const PlacementAttempt &attempt)
-{
-    policy::StepDemand need = stepDemandFor(attempt);
-    // Requires 1.5 times the capacity: upstreams are rarely idle.
-    need.count += need.count / 2;
-    std::uint64_t capacity = 0;
-    std::size_t unknown = 0;
-    forEachEligible(attempt, [&](const PlacementCandidate &candidate, AdviceStatus status, const Ticket *) {
-        if (status == AdviceStatus::Allowed) {
-            policy::UpstreamCandidate empty = upstreamCandidateFor(attempt, candidate);
-            empty.free = candidate.state->capacity;
-            empty.runningTasks = 0;
-            capacity += policy::taskCapacity(need, empty);
-        } else if (status == AdviceStatus::Unknown) {
-            ++unknown;
-        }
-    });
-    return unknown > 0 && capacity < need.count;
-}
-
-/** @return whether the step could be placed now if all tickets were valid. */
-bool hasCapacityWithTickets(const PlacementAttempt &attempt)
-{
-    const policy::StepDemand need = stepDemandFor(attempt);
-    std::uint64_t capacity = 0;
-    forEachEligible(attempt, [&](const PlacementCandidate &candidate, AdviceStatus status, const Ticket *) {
-        if (status == AdviceStatus::Allowed) {
-            capacity += policy::taskCapacity(need, upstreamCandidateFor(attempt, candidate));
-        }
-    });
-    return isEnoughCapacity(attempt, std::min<std::uint64_t>(capacity, need.count));
-}
-
 /** Sends a request through the adviser that is expected to answer first. @param requested the upstreams to name; nothing is sent if it is empty. */
 void sendAdviceRequest(Leader &leader, const PlacementAttempt &attempt, std::span<PlacementCandidate *const> requested, const Now &now, LeaderOutput &output)
 {
@@ -209,10 +175,10 @@
     return pending;
 }
 
-/** Requests advice on upstreams that have capacity for a gang now, beside the requests that are pending for it. */
-void requestAdviceForGang(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output)
+/** Requests advice on upstreams that have capacity for a step now, beside the requests that are pending for it. */
+void requestAdviceWithCapacity(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output)
 {
-    if (attempt.advice.pendingCalls.size() >= maxRequestsPerGang) {
+    if (attempt.advice.pendingCalls.size() >= maxRequestsPerStep) {
         return;
     }
     const std::set<std::uint32_t> pending = pendingUpstreams(leader, attempt.advice);
@@ -233,7 +199,7 @@
                               policy::taskCapacity(need, upstreamCandidateFor(attempt, candidate))});
         sources.push_back(&candidate);
     });
-    const policy::AdviceDemand demand{need.count, allowedShareOf(leader, attempt.queue), maxUpstreamsPerRequest};
+    const policy::AdviceDemand demand{need.count, attempt.step.gang, allowedShareOf(leader, attempt.queue), maxUpstreamsPerRequest};
     std::vector<PlacementCandidate *> requested;
     for (const std::uint32_t number : policy::upstreamsToAskFor(demand, candidates)) {
         requested.push_back(*std::lower_bound(sources.begin(), sources.end(), number, [](const PlacementCandidate *candidate, std::uint32_t wanted) {
@@ -260,11 +226,7 @@
     if ((tooLate || !attempt.advice.pendingCalls.empty()) && advisersBusy(leader, now)) {
         return;
     }
-    if (attempt.step.gang) {
-        requestAdviceForGang(leader, attempt, now, output);
-    } else if (hasCapacityWithTickets(attempt) || needsMoreAdvice(attempt)) {
-        requestAdvice(leader, attempt, now, output);
-    }
+    requestAdviceWithCapacity(leader, attempt, now, output);
 }
 
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output)
--- a/Source/policy/gangadvice.cpp
+++ b/Source/policy/adviceselection.cpp
@@ -1,4 +1,4 @@
-#include "policy/gangadvice.h"
+#include "policy/adviceselection.h"
 
 #include <algorithm>
 #include <tuple>
@@ -7,10 +7,10 @@
 {
 namespace
 {
-/** Factor by which the expected capacity exceeds the gang: other steps take a part of it before the answer arrives. */
+/** Factor by which the expected capacity exceeds the need: other steps take a part of it before the answer arrives. */
 constexpr double capacityMargin = 1.5;
 
-/** @return the members of the gang that an upstream is expected to take if it is asked about. */
+/** @return the tasks that an upstream is expected to take if it is asked about. */
 double expectedFit(const AdviceDemand &demand, const AdviceCandidate &candidate)
 {
     return candidate.knowledge == AdviceKnowledge::Unknown ? demand.allowedShare * candidate.fitsNow : candidate.fitsNow;
@@ -30,7 +30,7 @@
             order.push_back(candidate);
         }
     }
-    if (reachable < demand.count) {
+    if (demand.gang && reachable < demand.count) {
         return {};
     }
     std::sort(order.begin(), order.end(), [](const AdviceCandidate &a, const AdviceCandidate &b) {
