--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -246,23 +246,6 @@
     return *serviceCandidates.hasSpareCapacity;
 }
 
-/** @return whether a step lets a gang that ranks above it and waits for capacity go first. */
-bool yieldsToGang(const PlacementAttempt &attempt, ServiceCandidates &serviceCandidates, const Now &now)
-{
-    const bool gangWaits = serviceCandidates.waitingGangPriority && *serviceCandidates.waitingGangPriority < attempt.waiting.key.priority;
-    return gangWaits && !attempt.step.gang && policy::canYieldToGang(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs))
-        && !hasSpareCapacity(serviceCandidates);
-}
-
-/** Notes a gang that waits for capacity, for the steps that rank behind it. */
-void noteWaitingGang(const PlacementAttempt &attempt, ServiceCandidates &serviceCandidates, const Now &now)
-{
-    const bool inTime = policy::timelinessOf(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::InTime;
-    if (attempt.step.gang && inTime && attempt.waiting.failedAttempts > 0 && !serviceCandidates.waitingGangPriority) {
-        serviceCandidates.waitingGangPriority = attempt.waiting.key.priority;
-    }
-}
-
 /** Tries to place a step. @return whether an attempt was made and failed. */
 bool failsToPlace(Leader &leader, const job::State &state, WaitingStep &waiting, CandidatesByService &candidatesByService, const Now &now,
                   wire::RunsPlacedT &record, LeaderOutput &output)
@@ -278,18 +261,12 @@
     // Without a valid ticket an attempt fails until the reply arrives. A backlog whose tickets expired must not use up the pass.
     const bool ticketless = queue->advised && now.monotonicMs + ticketMarginMs >= advice.ticketsValidUntilMs;
     const bool awaitsAdvice = ticketless && !advice.pendingCalls.empty();
-    PlacementAttempt attempt{waiting, *job.spec.steps[waiting.ref.step], *queue, advice, serviceCandidates.candidates};
     if (awaitsAdvice || (now.monotonicMs < waiting.nextAttemptMs && advice.answeredMs < leader.previousPlacementMs)) {
         leader.placementNeeded = leader.placementNeeded || !awaitsAdvice;
         markReserved(waiting, serviceCandidates.candidates);
-        noteWaitingGang(attempt, serviceCandidates, now);
-        return false;
-    }
-    if (yieldsToGang(attempt, serviceCandidates, now)) {
-        leader.placementNeeded = true;
-        waiting.nextAttemptMs = now.monotonicMs + retryMs;
         return false;
     }
+    PlacementAttempt attempt{waiting, *job.spec.steps[waiting.ref.step], *queue, advice, serviceCandidates.candidates};
     const bool tooLate = policy::timelinessOf(waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
     if (tooLate && !hasSpareCapacity(serviceCandidates)) {
         leader.placementNeeded = true;
@@ -302,9 +279,6 @@
     if (waiting.unplaced.size() < before) {
         serviceCandidates.hasSpareCapacity.reset();
     }
-    if (!waiting.unplaced.empty()) {
-        noteWaitingGang(attempt, serviceCandidates, now);
-    }
     const bool requestedOnly = ticketless && !advice.pendingCalls.empty();
     return !waiting.unplaced.empty() && !requestedOnly;
 }
--- a/Source/deployment/placing.h
+++ b/Source/deployment/placing.h
@@ -24,7 +24,6 @@
 struct ServiceCandidates
 {
     std::vector<PlacementCandidate> candidates; ///< Ordered by the number of the upstream.
-    std::optional<std::uint32_t> waitingGangPriority; ///< Priority of the first gang in this pass that can be in time and waits for capacity.
     std::optional<bool> hasSpareCapacity; ///< Cached since the last placement; empty if not computed.
 };
 
--- a/Source/policy/waitingorder.cpp
+++ b/Source/policy/waitingorder.cpp
@@ -11,11 +11,6 @@
     return completionMs <= key.releaseMs + lateFactor * key.objectiveMs ? Timeliness::Late : Timeliness::TooLate;
 }
 
-bool canYieldToGang(const WaitingKey &key, std::int64_t nowMs)
-{
-    return nowMs < key.releaseMs + maxYieldMs && key.releaseMs + key.objectiveMs - key.remainingMs - nowMs > minYieldSlackMs;
-}
-
 bool hasSpareCapacity(const model::Resources &used, const model::Resources &total)
 {
     const auto isBelowLimit = [](std::uint64_t usedPart, std::uint64_t totalPart) {
--- a/Source/policy/waitingorder.h
+++ b/Source/policy/waitingorder.h
@@ -31,17 +31,6 @@
 /** @param key a waiting step. @param nowMs current time. @return the expected completion if the step is placed now. */
 Timeliness timelinessOf(const WaitingKey &key, std::int64_t nowMs);
 
-/** Time from its release for which a step lets waiting gangs go first, and the remaining slack that it needs for that. */
-constexpr std::int64_t maxYieldMs = 2000;
-constexpr std::int64_t minYieldSlackMs = 4000;
-
-/**
- * A gang starts only on capacity that is free at one moment. Steps that start in parts and rank behind it take such capacity as soon as it gets free, so those
- * that can wait do so while a gang waits.
- * @param key a step that isn't a gang. @param nowMs current time. @return whether it can still complete in time if it lets a waiting gang go first.
- */
-bool canYieldToGang(const WaitingKey &key, std::int64_t nowMs);
-
 /** Share of the capacity in use above which steps that are too late wait, since they would take capacity from steps that can still be in time. It is above
  * one half so that no step waits indefinitely while upstreams are idle. */
 constexpr double maxUsedShareForTooLate = 0.6;
