--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -48,6 +48,12 @@
     return share == leader.allowedShares.end() ? defaultAllowedShare : std::max(share->second, minShare);
 }
 
+/** @return whether a request that names the number of upstreams takes little time. */
+bool isCheapRequest(const wire::QueueSpecT &queue, std::size_t upstreams)
+{
+    return queue.advicePerUpstreamMs * static_cast<double>(upstreams) <= cheapRequestMs;
+}
+
 /** @return how many upstreams to name so that the allowed ones are expected to hold the step, by their free capacity. */
 std::size_t requestSizeFor(const Leader &leader, const PlacementAttempt &attempt, std::span<PlacementCandidate *const> unrequested,
                            std::span<PlacementCandidate *const> known)
@@ -90,7 +96,7 @@
     std::sort(unrequested.begin(), unrequested.end(), byFreeCapacity);
     std::sort(known.begin(), known.end(), byFreeCapacity);
     const std::size_t total = unrequested.size() + known.size();
-    const bool cheap = attempt.queue.advicePerUpstreamMs * static_cast<double>(total) <= cheapRequestMs;
+    const bool cheap = isCheapRequest(attempt.queue, total);
     // Allowed upstreams are named again to renew their tickets; others are added only while too few are allowed.
     std::vector<PlacementCandidate *> requested = known;
     const std::size_t maxCount = std::max(cheap ? minUpstreamsPerCheapRequest : minUpstreamsPerRequest, requestSizeFor(leader, attempt, unrequested, known));
@@ -199,7 +205,8 @@
                               policy::taskCapacity(need, upstreamCandidateFor(attempt, candidate))});
         sources.push_back(&candidate);
     });
-    const policy::AdviceDemand demand{need.count, attempt.step.gang, allowedShareOf(leader, attempt.queue), maxUpstreamsPerRequest};
+    const std::size_t minNamed = isCheapRequest(attempt.queue, candidates.size()) ? minUpstreamsPerCheapRequest : minUpstreamsPerRequest;
+    const policy::AdviceDemand demand{need.count, attempt.step.gang, allowedShareOf(leader, attempt.queue), minNamed, maxUpstreamsPerRequest};
     std::vector<PlacementCandidate *> requested;
     for (const std::uint32_t number : policy::upstreamsToAskFor(demand, candidates)) {
         requested.push_back(*std::lower_bound(sources.begin(), sources.end(), number, [](const PlacementCandidate *candidate, std::uint32_t wanted) {
--- a/Source/policy/adviceselection.cpp
+++ b/Source/policy/adviceselection.cpp
@@ -26,20 +26,28 @@
         reachable += expectedFit(demand, candidate);
         if (candidate.knowledge == AdviceKnowledge::Valid || candidate.pending) {
             expected += expectedFit(demand, candidate);
-        } else if (candidate.fitsNow > 0) {
+        } else {
             order.push_back(candidate);
         }
     }
-    if (demand.gang && reachable < demand.count) {
+    const double wanted = capacityMargin * demand.count;
+    const bool anyFits = std::any_of(order.begin(), order.end(), [](const AdviceCandidate &candidate) {
+        return candidate.fitsNow > 0;
+    });
+    if (!anyFits || expected >= wanted || (demand.gang && reachable < demand.count)) {
         return {};
     }
     std::sort(order.begin(), order.end(), [](const AdviceCandidate &a, const AdviceCandidate &b) {
+        if ((a.fitsNow > 0) != (b.fitsNow > 0)) {
+            return a.fitsNow > 0;
+        }
         return std::tuple(a.knowledge != AdviceKnowledge::Expired, b.fitsNow, a.upstream)
             < std::tuple(b.knowledge != AdviceKnowledge::Expired, a.fitsNow, b.upstream);
     });
     std::vector<std::uint32_t> named;
     for (const AdviceCandidate &candidate : order) {
-        if (expected >= capacityMargin * demand.count || named.size() >= demand.maxNamed) {
+        const bool suffices = expected >= wanted || candidate.fitsNow == 0;
+        if ((suffices && named.size() >= demand.minNamed) || named.size() >= demand.maxNamed) {
             break;
         }
         named.push_back(candidate.upstream);
--- a/Source/policy/adviceselection.h
+++ b/Source/policy/adviceselection.h
@@ -29,6 +29,7 @@
     std::uint32_t count = 0; ///< Tasks to place.
     bool gang = false; ///< The tasks start together or not at all.
     double allowedShare = 0; ///< Share of the upstreams that the service is expected to allow.
+    std::size_t minNamed = 0; ///< A request names this many, as further ones add little to its time; first those with capacity.
     std::size_t maxNamed = 0; ///< Maximum number of upstreams in one request.
 };
 
--- a/Tests/policy/adviceselection.cpp
+++ b/Tests/policy/adviceselection.cpp
@@ -30,7 +30,7 @@
     for (std::uint32_t i = 30; i < 540; ++i) {
         candidates.push_back(unknown(i, i % 2));
     }
-    const std::vector<std::uint32_t> named = upstreamsToAskFor({20, true, 0.3, 100}, candidates);
+    const std::vector<std::uint32_t> named = upstreamsToAskFor({20, true, 0.3, 0, 100}, candidates);
     CHECK_EQUAL(std::size_t{100}, named.size());
     CHECK(std::all_of(named.begin(), named.end(), [](std::uint32_t upstream) {
         return upstream >= 30 && upstream % 2 == 1;
@@ -40,17 +40,17 @@
 TEST_CASE(AdviceSelection, ExpiredTicketsAreRenewedBeforeOthersAreAskedFor)
 {
     const std::vector<AdviceCandidate> candidates{unknown(1, 9), allowed(2, 3, false), allowed(3, 4, false), unknown(4, 9), allowed(5, 0, false)};
-    CHECK(upstreamsToAskFor({4, true, 0.5, 100}, candidates) == (std::vector<std::uint32_t>{3, 2}));
+    CHECK(upstreamsToAskFor({4, true, 0.5, 0, 100}, candidates) == (std::vector<std::uint32_t>{3, 2}));
 }
 
 TEST_CASE(AdviceSelection, NothingIsAskedWhileValidTicketsOrPendingRequestsSuffice)
 {
     std::vector<AdviceCandidate> candidates{allowed(1, 3, true), unknown(2, 9), unknown(3, 9)};
-    CHECK(upstreamsToAskFor({2, true, 0.5, 100}, candidates).empty());
+    CHECK(upstreamsToAskFor({2, true, 0.5, 0, 100}, candidates).empty());
     candidates[0].fitsNow = 0;
     candidates[1].pending = true;
-    CHECK(upstreamsToAskFor({2, true, 0.5, 100}, candidates).empty());
-    CHECK(upstreamsToAskFor({6, true, 0.5, 100}, candidates) == (std::vector<std::uint32_t>{3}));
+    CHECK(upstreamsToAskFor({2, true, 0.5, 0, 100}, candidates).empty());
+    CHECK(upstreamsToAskFor({6, true, 0.5, 0, 100}, candidates) == (std::vector<std::uint32_t>{3}));
 }
 
 /** Many small steps on a busy fleet: a single task waited for seconds for one of its few allowed upstreams, while others had room for hundreds. */
@@ -64,23 +64,32 @@
     for (std::uint32_t i = 27; i < 40; ++i) {
         candidates.push_back(unknown(i, 1));
     }
-    CHECK(upstreamsToAskFor({1, false, 0.3, 100}, candidates) == (std::vector<std::uint32_t>{27, 28, 29, 30, 31}));
+    CHECK(upstreamsToAskFor({1, false, 0.3, 0, 100}, candidates) == (std::vector<std::uint32_t>{27, 28, 29, 30, 31}));
     candidates[3].fitsNow = 2;
-    CHECK(upstreamsToAskFor({1, false, 0.3, 100}, candidates).empty());
+    CHECK(upstreamsToAskFor({1, false, 0.3, 0, 100}, candidates).empty());
+}
+
+/** Small fleets: the fixed part of a request's time outweighs that of an upstream, so that requests of a few upstreams each cost a gang its objective. */
+TEST_CASE(AdviceSelection, ARequestNamesFurtherUpstreamsWhereTheyAddLittleTime)
+{
+    const std::vector<AdviceCandidate> candidates{unknown(1, 0), unknown(2, 3), unknown(3, 1), allowed(4, 1, false), allowed(5, 0, false)};
+    CHECK(upstreamsToAskFor({1, true, 0.5, 3, 100}, candidates) == (std::vector<std::uint32_t>{4, 2, 3}));
+    CHECK(upstreamsToAskFor({1, true, 0.5, 4, 100}, candidates) == (std::vector<std::uint32_t>{4, 2, 3, 5}));
+    CHECK(upstreamsToAskFor({1, true, 0.5, 9, 3}, candidates) == (std::vector<std::uint32_t>{4, 2, 3}));
 }
 
 /** Part of a step that isn't a gang starts on less room than all of it needs. */
 TEST_CASE(AdviceSelection, AStepStartsInPartsWhereAGangWaits)
 {
     const std::vector<AdviceCandidate> candidates{allowed(1, 2, false), allowed(2, 0, false)};
-    CHECK(upstreamsToAskFor({8, true, 0.5, 100}, candidates).empty());
-    CHECK(upstreamsToAskFor({8, false, 0.5, 100}, candidates) == (std::vector<std::uint32_t>{1}));
+    CHECK(upstreamsToAskFor({8, true, 0.5, 0, 100}, candidates).empty());
+    CHECK(upstreamsToAskFor({8, false, 0.5, 0, 100}, candidates) == (std::vector<std::uint32_t>{1}));
 }
 
 /** A full fleet: no answer could let the gang start, so the advice service isn't asked. */
 TEST_CASE(AdviceSelection, NothingIsAskedWhileTheGangFitsNowhere)
 {
     const std::vector<AdviceCandidate> candidates{allowed(1, 2, false), unknown(2, 4), unknown(3, 4)};
-    CHECK(upstreamsToAskFor({8, true, 0.5, 100}, candidates).empty());
-    CHECK(!upstreamsToAskFor({6, true, 0.5, 100}, candidates).empty());
+    CHECK(upstreamsToAskFor({8, true, 0.5, 0, 100}, candidates).empty());
+    CHECK(!upstreamsToAskFor({6, true, 0.5, 0, 100}, candidates).empty());
 }
