deployment: Don't read the lists of an earlier process as the registered one's

Found in reading the diff: since a poll's reply from a later process registers it, a reply from an earlier one was handled as if the registered process had sent it; before, every other process was turned away. Not seen in a run; such a reply needs two processes of one id at one address, or an upstream whose clock was set back. The earlier check is back for that case.

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -451,6 +451,11 @@
         applyNewIncarnation(leader, upstreamState, seen, now, output);
         return;
     }
+    if (reply.incarnation != 0 && reply.incarnation < upstreamState.registration.born) {
+        upstreamState.listsRead = false; // Lists of an earlier process say nothing about the registered one.
+        upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
+        return;
+    }
     if (reply.status == CallStatus::OtherIncarnation) {
         endIncarnation(leader, upstreamState, "other-incarnation", now, output);
         return;
