deployment: Let withheld orders take the path of returned ones

No behaviour changes: 30 cases of test-deployment pass, among them AResumedLeaderWithoutItsLeaseSendsNoOrders; formatter and linter clean on the file. The header for std::min is included by name.

--- a/Source/deployment/hostdelivery.cpp
+++ b/Source/deployment/hostdelivery.cpp
@@ -1,6 +1,7 @@
 #include "deployment/host.h"
 #include "deployment/ordercodec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace rosemaryturn::deployment
@@ -107,24 +108,21 @@
         output.sendBeforeMs = std::min(now.monotonicMs + maxOrderAgeMs, host.node->leaseUntilMs);
         return;
     }
-    std::vector<std::uint64_t> withheld;
+    ReturnedOrders withheld;
     for (const UpstreamCall &call : std::exchange(output.upstreamCalls, {})) {
-        withheld.push_back(call.id);
+        withheld.unknown.push_back(call.id);
     }
     for (auto &[courier, batch] : output.courierOrders) {
         for (const UpstreamCall &call : std::exchange(batch.calls, {})) {
             completeOrder(host.couriers, courier, call.id);
-            withheld.push_back(call.id);
+            withheld.unknown.push_back(call.id);
         }
     }
-    if (!withheld.empty()) {
-        output.decisions.push_back({"orders-withheld", std::to_string(withheld.front()), "orders=" + std::to_string(withheld.size()) + " cause=no-lease"});
-    }
-    for (const std::uint64_t id : withheld) {
-        UpstreamReply unanswered;
-        unanswered.id = id;
-        handleUpstreamReply(host, unanswered, now, output);
+    if (!withheld.unknown.empty()) {
+        output.decisions.push_back(
+            {"orders-withheld", std::to_string(withheld.unknown.front()), "orders=" + std::to_string(withheld.unknown.size()) + " cause=no-lease"});
     }
+    handleReturnedOrders(host, std::move(withheld), now, output);
 }
 
 void handleReturnedOrders(Host &host, ReturnedOrders returned, const Now &now, HostOutput &output)
