Tests: Draw the numbers of a schedule in a fixed order

Cause: the schedules drew three random numbers in the arguments of one call. The order of their evaluation is up to the compiler: the same compiler takes them from the right on x86_64 and from the left on aarch64. The seeds in SchedulesThatFailedBeforeKeepThePromises are of the former; on the latter they play other schedules, and guard against nothing.

Ruled out: another compiler version or library (the same package), ASLR or leftover state (two plays of a seed are equal byte by byte).

Change: each number is drawn in a statement of its own, from the right.

--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -349,9 +349,13 @@
     int jobs = 0;
     for (int round = 0; round < 24; ++round) {
         for (int i = 0; i < 3; ++i) {
-            wire::StepSpecT first = makeStep(1 + random() % 4, 1000 + random() % 4000, 300 + random() % 1500);
+            const auto firstMs = static_cast<std::uint32_t>(300 + random() % 1500);
+            const auto firstCpu = static_cast<std::uint32_t>(1000 + random() % 4000);
+            wire::StepSpecT first = makeStep(1 + random() % 4, firstCpu, firstMs);
             first.gang = random() % 3 == 0;
-            wire::StepSpecT second = makeStep(1 + random() % 3, 1000 + random() % 3000, 300 + random() % 700);
+            const auto secondMs = static_cast<std::uint32_t>(300 + random() % 700);
+            const auto secondCpu = static_cast<std::uint32_t>(1000 + random() % 3000);
+            wire::StepSpecT second = makeStep(1 + random() % 3, secondCpu, secondMs);
             second.after = {0};
             fleet.submit("/" + std::to_string(random() % 2) + "/j" + std::to_string(jobs++), {first, second});
             fleet.run(200);
