transport: Send a start on one connection only

Cause: libcurl sends a request again by itself, a POST too, when a reused connection is closed before the first byte of the response. An upstream whose connection is reset after it took a start gets the start twice. If it answers the second copy with 429, 503, or a ticket that has expired since, the leader has sent one start and sees it refused: it records the run as never begun and places the task again at once, while the first copy runs. `startsSent` counts what the leader sent, not what the library did.

Evidence: AsyncHttpClient.ARequestIsSentOnceWhenItsConnectionIsLost, before: status 200 after three arrivals instead of none after two.

Change: a request may ask to be sent once; the callback that libcurl makes before each sending aborts the second one.

Ruled out: a fresh connection for each start (connections are priced, and a reset on it has the same ambiguity without harm); treating each refusal as ambiguous (a refused start would hold capacity for a stop and a poll).

--- a/Source/transport/asynchttpclient.cpp
+++ b/Source/transport/asynchttpclient.cpp
@@ -26,6 +26,7 @@
     CURL *easy = nullptr;
     curl_slist *headers = nullptr;
     AsyncHttpRequest call;
+    bool sent = false; ///< The request was sent on some connection.
     std::string responseBody;
 };
 
@@ -35,12 +36,15 @@
     return size * count;
 }
 
-/** Called when a connection is ready, before the request is sent. A delayed request may reach a process that it isn't meant for. */
-int checkSendTime(void *target, char *, char *, int, int)
+/** Called when a connection is ready, before the request is sent. A delayed request may reach a process that it isn't meant for. libcurl calls it again before
+ * it resends a request whose reused connection was closed without a response. */
+int checkSending(void *target, char *, char *, int, int)
 {
-    const auto &transfer = *static_cast<Transfer *>(target);
+    auto &transfer = *static_cast<Transfer *>(target);
     const bool tooLate = transfer.call.sendBeforeMs > 0 && (*transfer.clockMs)() >= transfer.call.sendBeforeMs;
-    return tooLate ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    const bool resent = transfer.call.sendOnce && transfer.sent;
+    transfer.sent = true;
+    return tooLate || resent ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 }
 
@@ -115,7 +119,7 @@
         curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(transfer->call.timeoutMs));
         curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(transfer->call.timeoutMs));
-        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, checkSendTime);
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, checkSending);
         curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
         curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
--- a/Source/transport/asynchttpclient.h
+++ b/Source/transport/asynchttpclient.h
@@ -22,6 +22,7 @@
     std::string body;
     std::uint64_t timeoutMs = 1000; ///< Total time for connecting, sending and receiving.
     std::uint64_t sendBeforeMs = 0; ///< Clock value from which the request is not sent any more; 0 for no limit.
+    bool sendOnce = false; ///< Whether the library must not send it again by itself if a reused connection is lost before the response.
     std::function<void(long status, std::string body)> done; ///< Completion callback, invoked on the client's thread; status is 0 when there was no response.
 };
 
--- a/Tests/platform/bodies.cpp
+++ b/Tests/platform/bodies.cpp
@@ -93,6 +93,7 @@
     order.run = 4;
     order.leaseUntilMs = 900;
     order.fence = 6;
+    CHECK(platform::workerCall(order).sendOnce);
     const auto body = nlohmann::json::parse(platform::workerCall(order).body);
     CHECK_TEXT("abc.0.2.3", body["task"].get<std::string>());
     CHECK_EQUAL(900, body["deadlineMs"].get<int>());
--- a/Tests/transport/asynchttpclient.cpp
+++ b/Tests/transport/asynchttpclient.cpp
@@ -18,12 +18,13 @@
 {
 using namespace rosemaryturn;
 
-/** Answers every request on one connection at a time with 200, and counts the requests. */
+/** Answers every request on one connection at a time with 200, except the one with a given number, whose connection it closes. Counts the requests. */
 class CountingServer
 {
 public:
-    CountingServer()
-        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    explicit CountingServer(int unanswered = 0)
+        : m_unanswered(unanswered)
+        , m_listener(socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -64,7 +65,9 @@
         while ((connection = accept(m_listener, nullptr, nullptr)) >= 0) {
             std::array<char, 4096> buffer{};
             while (recv(connection, buffer.data(), buffer.size(), 0) > 0) {
-                ++requests;
+                if (++requests == m_unanswered) {
+                    break;
+                }
                 const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
                 send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
             }
@@ -72,13 +75,14 @@
         }
     }
 
+    int m_unanswered; ///< Number of the request that gets no answer; 0 for none.
     int m_listener;
     std::uint16_t m_port = 0;
     std::thread m_thread;
 };
 
 /** @return the status of a request; 0 if there was no response. */
-long statusOf(transport::AsyncHttpClient &client, const std::string &url, std::uint64_t sendBeforeMs)
+long statusOf(transport::AsyncHttpClient &client, const std::string &url, std::uint64_t sendBeforeMs, bool sendOnce = false)
 {
     auto status = std::make_shared<std::promise<long>>();
     transport::AsyncHttpRequest request;
@@ -86,6 +90,7 @@
     request.body = "{}";
     request.timeoutMs = 60000;
     request.sendBeforeMs = sendBeforeMs;
+    request.sendOnce = sendOnce;
     request.done = [status](long code, const std::string &) {
         status->set_value(code);
     };
@@ -114,3 +119,20 @@
     CHECK_EQUAL(2, server.requests.load());
     client.stop();
 }
+
+/** A start was carried out and its connection lost before the answer. The HTTP library sent it again on a new connection by itself; the refusal of the second
+ * copy was taken for that of the only one, and the task was started elsewhere while it was running. */
+TEST_CASE(AsyncHttpClient, ARequestIsSentOnceWhenItsConnectionIsLost)
+{
+    constexpr int lost = 2;
+    CountingServer server(lost);
+    transport::AsyncHttpClient client(2, [] {
+        return std::uint64_t{0};
+    });
+    CHECK_EQUAL(200L, statusOf(client, server.url(), 0, true));
+    CHECK_EQUAL(0L, statusOf(client, server.url(), 0, true)); // On the connection of the first request.
+    CHECK_EQUAL(lost, server.requests.load());
+    CHECK_EQUAL(200L, statusOf(client, server.url(), 0, true));
+    CHECK_EQUAL(lost + 1, server.requests.load());
+    client.stop();
+}
