--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -1,5 +1,4 @@
-#include "fakes/fleet.h"
-#include "testing.h"
+#include "deployment/fleettesting.h"
 
 namespace
 {
@@ -7,35 +6,6 @@
 using fakes::Fleet;
 using fakes::FleetOptions;
 using fakes::makeStep;
-
-std::string violationsText(const Fleet &fleet)
-{
-    std::string text;
-    for (const std::string &line : fleet.violations) {
-        text += line + "\n";
-    }
-    return text;
-}
-
-/** Waits until there is an active leader and upstreams accept work. */
-void waitUntilReady(Fleet &fleet)
-{
-    CHECK(fleet.runUntil(
-        [&] {
-            return fleet.leader() != nullptr;
-        },
-        10000));
-    fleet.run(3000);
-}
-
-bool completes(Fleet &fleet, const std::string &path, std::uint64_t ms)
-{
-    return fleet.runUntil(
-        [&] {
-            return fleet.phase(path) == job::Phase::Completed;
-        },
-        ms);
-}
 }
 
 TEST_CASE(Deployment, FoundsOneGroupFromSeeds)
