Tests: Let simulated upstreams crash under tasks and change their capacity

The tasks of the jobs in Fleet::crashingJobs crash the upstream that starts them, at once or after a delay. The upstream comes back under its id or as a new upstream at the same address. Fleet::setCapacity() changes the capacity of an upstream, which its next heartbeat states; heartbeats of one upstream can be suppressed, and faults of orders limited to starts.

Checks: the third start of a crashing task after the third crash under it is a violation. LIMIT compares with the largest capacity that the upstream had within contactMs and one heartbeat; nothing changes for a capacity that stays. An acknowledged end as done of one member of a gang counts for all members. Fleet::checkFailedJobs() reports jobs that are shown as failed without a cause.

--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -22,6 +22,7 @@
 {
     double delayedShare = 0; ///< Share of the orders that get no answer and are carried out 2 to 12 s later.
     double lostShare = 0; ///< Share of the orders that get no answer and are never carried out.
+    bool startsOnly = false; ///< Whether stops and polls are exempt.
 };
 
 /** Configuration of a fleet; times in milliseconds. */
@@ -40,6 +41,9 @@
     std::uint64_t seed = 1;
     std::size_t minUpstreamsForCouriers = 100; ///< Number of upstreams from which on entry hosts deliver the orders.
     std::uint32_t firstHost = 0; ///< Added to the upstreams' speed pattern.
+    std::uint64_t crashDelayMs = 0; ///< Time between the start of a crashing task and the crash; at 0 the start gets no answer.
+    std::uint64_t crashedForMs = 3000; ///< Time until an upstream that a task crashed is back.
+    bool newIdAfterCrash = false; ///< Whether it comes back as a new upstream at the same address.
 };
 
 /** A run on a fake upstream. */
@@ -54,11 +58,21 @@
     bool failing = false;
 };
 
+/** What an upstream has for its runs. */
+struct FakeCapacity
+{
+    std::uint32_t cpuMillis = 0;
+    std::uint32_t memoryMb = 0;
+};
+
 /** A fake upstream that follows the upstream protocol. */
 struct FakeUpstream
 {
     std::string id;
     std::string address;
+    FakeCapacity capacity; ///< Changed by Fleet::setCapacity().
+    std::vector<std::pair<std::uint64_t, FakeCapacity>> earlierCapacities; ///< Each with the time at which it changed.
+    bool sendsHeartbeats = true;
     std::uint64_t incarnation = 0;
     std::uint64_t bootMs = 0;
     std::uint64_t sequence = 0;
@@ -137,6 +151,11 @@
     void crash(FakeUpstream &upstream);
     /** Kills an upstream and starts it again with the same id. @param upstream the upstream. */
     void restart(FakeUpstream &upstream);
+    /** Changes the capacity of an upstream at once; its next heartbeat states it. @param upstream the upstream. @param capacity the new capacity. */
+    void setCapacity(FakeUpstream &upstream, FakeCapacity capacity);
+    /** Adds a violation for each job that the leader shows as failed without a cause. Causes are a crashing task, a task or gang with as many acknowledged
+     * failures as attempts, and a task under which two upstreams crashed. */
+    void checkFailedJobs();
 
     FleetOptions options;
     OrderFaults orderFaults;
@@ -144,10 +163,12 @@
     std::vector<FakeHost> hosts;
     std::vector<FakeUpstream> upstreams;
     std::map<std::string, wire::JobSpecT> jobs; ///< All submitted jobs, by id.
+    std::set<std::string> crashingJobs; ///< Ids of the jobs whose tasks crash each upstream that starts them.
     std::vector<std::string> violations; ///< Guarantees that were violated.
     bool trace = false; ///< Writes decisions, orders and ends to the standard error stream.
     std::uint64_t starts = 0;
     std::uint64_t aloneEnds = 0;
+    std::uint64_t crashesByTasks = 0; ///< Number of upstreams that crashing tasks have crashed.
 
 private:
     using ReplySink = std::function<void(const deployment::UpstreamReply &, std::uint64_t ms)>; ///< Receives a reply after a delay.
@@ -180,6 +201,9 @@
     void executeCall(const deployment::UpstreamCall &call, const std::function<void(const deployment::UpstreamReply &)> &reply);
     deployment::UpstreamReply startRun(FakeUpstream &upstream, const deployment::UpstreamCall &call);
     void stopRun(FakeUpstream &upstream, const deployment::UpstreamCall &call);
+    void crashByTask(FakeUpstream &upstream);
+    void returnAfterCrash(FakeUpstream &upstream);
+    FakeCapacity countedCapacity(const FakeUpstream &upstream) const;
     deployment::UpstreamReply pollRuns(FakeUpstream &upstream, const deployment::UpstreamCall &call);
     void endRun(FakeUpstream &upstream, const std::string &name, wire::RunEnd end);
     void tickUpstream(FakeUpstream &upstream);
@@ -198,7 +222,11 @@
     deployment::Token m_nextToken = 1;
     std::map<deployment::Token, FakeAnswer> m_answers;
     std::map<std::string, std::uint32_t> m_recordedFailed; ///< Failed ends that were acknowledged to upstreams, by task name.
+    std::map<std::string, std::set<std::uint32_t>> m_failedGangRuns; ///< Runs of gangs with an acknowledged failure of a member, by step name.
+    std::map<std::string, std::uint32_t> m_crashesUnder; ///< Number of upstreams that crashed while they ran a task, by task name.
+    std::map<std::string, std::uint32_t> m_startsAfterCrashes; ///< Starts of crashing tasks after as many crashes as are allowed, by task name.
     std::set<std::string> m_recordedDone; ///< Tasks with an acknowledged end as done.
+    std::set<std::string> m_recordedDoneGangs; ///< Steps that are gangs, of which a member has an acknowledged end as done.
     std::set<std::string> m_listedDone; ///< Tasks that some poll reply listed as done.
     std::uint64_t m_planVersion = 0;
     std::uint32_t m_attempts = 1;
