Tests: Check starts between an end and its acknowledgement

A task that was done may not start again even if its end is acknowledged only after the start, unless the lease lapsed between the two; and no task may start after as many failed ends as attempts that are acknowledged later. The simulated upstream checked only ends that were acknowledged before a start.

--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -605,7 +605,7 @@
         run.waiting = true;
         run.gangDeadlineMs = nowMs + gangWaitMs;
     }
-    ++starts;
+    m_lastStarts[step.gang ? stepNameOf(call.job, call.task) : name] = ++starts;
     traceLine(upstream.id + " start " + name + " run " + std::to_string(call.run) + " fence " + std::to_string(call.fence));
     upstream.runs[name] = run;
     startCompleteGang(upstream, run);
@@ -670,6 +670,7 @@
     upstream.runs.erase(name);
     upstream.closedRuns[name] = std::max(upstream.closedRuns[name], run.number);
     aloneEnds += end == wire::RunEnd::Alone ? 1 : 0;
+    upstream.startsBeforeEnd[upstream.nextEnd] = starts;
     upstream.ended.push_back({upstream.nextEnd++, run.job, run.task, run.number, end, ""});
     for (auto &[untilMs, poll] : std::exchange(upstream.waitingPolls, {})) {
         schedule(0, poll);
@@ -713,6 +714,7 @@
         if (end.number <= upstream.lapsedEnd) {
             return true;
         }
+        checkEarlierStarts(upstream, end);
         const bool gang = jobs.at(end.job).steps[end.task.step]->gang;
         if (end.end == wire::RunEnd::Done) {
             m_recordedDone.insert(name);
@@ -739,6 +741,29 @@
     return reply;
 }
 
+/** Reports starts between an end and its acknowledgement that the end forbids: of a task that was done, or had failed as often as its attempts. */
+void Fleet::checkEarlierStarts(FakeUpstream &upstream, const deployment::ListedEnd &end)
+{
+    const std::string name = nameOf(end.job, end.task);
+    const bool gang = jobs.at(end.job).steps[end.task.step]->gang;
+    const std::uint64_t lastStart = m_lastStarts[gang ? stepNameOf(end.job, end.task) : name];
+    const std::uint64_t startsBefore = upstream.startsBeforeEnd[end.number];
+    const auto report = [&](const char *rule) {
+        violations.push_back(std::string(rule) + " " + name + " before end " + std::to_string(end.number) + " of run " + std::to_string(end.run) + " on "
+                             + upstream.id + " was acknowledged at " + std::to_string(nowMs));
+    };
+    if (end.end == wire::RunEnd::Done && lastStart > startsBefore) {
+        report("TWICE started");
+    }
+    if (end.end == wire::RunEnd::Failed) {
+        std::multiset<std::uint64_t> &failed = m_startsBeforeFailed[name];
+        failed.insert(startsBefore);
+        if (failed.size() >= m_attempts && lastStart > *std::next(failed.begin(), m_attempts - 1)) {
+            report("BUDGET started");
+        }
+    }
+}
+
 void Fleet::checkStart(const FakeUpstream &upstream, const deployment::UpstreamCall &call, const wire::StepSpecT &step)
 {
     const std::string name = nameOf(call.job, call.task);
@@ -829,6 +854,7 @@
     upstream.alive = false;
     upstream.runs.clear();
     upstream.ended.clear();
+    upstream.startsBeforeEnd.clear();
     // Connections are lost with the process.
     for (auto &[untilMs, poll] : std::exchange(upstream.waitingPolls, {})) {
         schedule(0, poll);
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -86,6 +86,7 @@
     std::map<std::string, FakeRun> runs; ///< By task name.
     std::map<std::string, std::uint32_t> closedRuns; ///< Highest run of each task that was stopped or ended.
     std::vector<deployment::ListedEnd> ended;
+    std::map<std::uint64_t, std::uint64_t> startsBeforeEnd; ///< Number of starts in the fleet before an end, by the end's number.
     std::vector<std::pair<std::uint64_t, std::function<void()>>> waitingPolls; ///< Polls that wait for an end: deadline and reply action.
 };
 
@@ -211,6 +212,7 @@
     void sendHeartbeat(FakeUpstream &upstream);
     void answerAdvice(FakeHost &self, const deployment::LocalAdviceRequest &request);
     void checkStart(const FakeUpstream &upstream, const deployment::UpstreamCall &call, const wire::StepSpecT &step);
+    void checkEarlierStarts(FakeUpstream &upstream, const deployment::ListedEnd &end);
     std::uint64_t upstreamClock(const FakeUpstream &upstream) const;
     bool isAllowed(const std::string &step, const std::string &upstream) const;
     deployment::Token submitRequest(wire::RequestT body);
@@ -227,6 +229,8 @@
     std::map<std::string, std::uint32_t> m_startsAfterCrashes; ///< Starts of crashing tasks after as many crashes as are allowed, by task name.
     std::set<std::string> m_recordedDone; ///< Tasks with an acknowledged end as done.
     std::set<std::string> m_recordedDoneGangs; ///< Steps that are gangs, of which a member has an acknowledged end as done.
+    std::map<std::string, std::uint64_t> m_lastStarts; ///< Number of the last start, by the name of a task or of a gang's step.
+    std::map<std::string, std::multiset<std::uint64_t>> m_startsBeforeFailed; ///< Starts in the fleet before each acknowledged failed end, by task name.
     std::set<std::string> m_listedDone; ///< Tasks that some poll reply listed as done.
     std::uint64_t m_planVersion = 0;
     std::uint32_t m_attempts = 1;
