Tests: Play schedules of combined faults

Upstreams restart within 20 ms to 3 s, several at once, come back under another id at their address, drain and leave, and are cut off in one direction or both. Leaders are disrupted right after a start, an acknowledgement or a listed end and several times within a lease; all control hosts are killed, one loses its disk. Orders arrive but stay unanswered, orders, answers and heartbeats are slow, and messages that a short partition stops arrive when it heals. Jobs are wider, longer, cancelled and submitted again.

--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -1,10 +1,13 @@
 #include "deployment/fleettesting.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -134,13 +137,439 @@
     return text;
 }
 
-void runSchedules(bool couriers)
+/** A schedule of combined faults. */
+struct MixedSchedule
+{
+    Fleet fleet;
+    std::mt19937_64 random;
+    std::multimap<std::uint64_t, std::function<void()>> later; ///< Actions by the time at which they are due.
+    std::vector<std::string> paths; ///< Of the submitted jobs.
+    std::map<std::string, std::vector<wire::StepSpecT>> steps; ///< Of the submitted jobs, by path.
+    std::uint64_t controlFaultMs = 0; ///< Time at which the latest fault of a control host was over.
+    std::uint64_t diskLostMs = 0; ///< Time at which the latest control host that lost its disk was back.
+};
+
+/** @param schedule the schedule. @param count the number of values. @return a number below it. */
+std::uint64_t draw(MixedSchedule &schedule, std::uint64_t count)
+{
+    return schedule.random() % count;
+}
+
+/** Advances the clock and runs the actions that fall due. @param schedule the schedule. @param ms the time. */
+void advance(MixedSchedule &schedule, std::uint64_t ms)
+{
+    const std::uint64_t untilMs = schedule.fleet.nowMs + ms;
+    while (!schedule.later.empty() && schedule.later.begin()->first <= untilMs) {
+        const auto next = schedule.later.extract(schedule.later.begin());
+        schedule.fleet.run(std::max(next.key(), schedule.fleet.nowMs) - schedule.fleet.nowMs);
+        next.mapped()();
+    }
+    schedule.fleet.run(std::max(untilMs, schedule.fleet.nowMs) - schedule.fleet.nowMs);
+}
+
+/** Registers an action. @param schedule the schedule. @param ms the delay. @param action the action. */
+void runLater(MixedSchedule &schedule, std::uint64_t ms, std::function<void()> action)
+{
+    schedule.later.emplace(schedule.fleet.nowMs + ms, std::move(action));
+}
+
+fakes::FakeUpstream &drawUpstream(MixedSchedule &schedule)
+{
+    return schedule.fleet.upstreams[draw(schedule, schedule.fleet.upstreams.size())];
+}
+
+fakes::FakeHost &drawControlHost(MixedSchedule &schedule)
+{
+    return schedule.fleet.hosts[draw(schedule, schedule.fleet.options.controlHosts)];
+}
+
+/** Submits a job of one to three steps. */
+void submitMixedJob(MixedSchedule &schedule)
+{
+    constexpr std::uint64_t upstreamCpu = 16000;
+    std::vector<wire::StepSpecT> steps;
+    const std::uint64_t stepCount = 1 + draw(schedule, 3);
+    for (std::uint64_t i = 0; i < stepCount; ++i) {
+        const bool gang = draw(schedule, 3) == 0;
+        const std::uint64_t count = gang ? 2 + draw(schedule, 7) : 1 + draw(schedule, 5);
+        const std::uint64_t maxCpu = gang ? upstreamCpu / count : 4000; // Each gang fits on one upstream.
+        const std::uint64_t cpu = 500 + draw(schedule, std::min<std::uint64_t>(maxCpu, 4000) - 499);
+        const std::uint64_t ms = draw(schedule, 4) == 0 ? 2000 + draw(schedule, 4000) : 50 + draw(schedule, 1500);
+        wire::StepSpecT step = makeStep(static_cast<std::uint32_t>(count), static_cast<std::uint32_t>(cpu), static_cast<std::uint32_t>(ms));
+        step.gang = gang;
+        if (i > 0) {
+            step.after = {static_cast<std::uint32_t>(draw(schedule, i))};
+        }
+        steps.push_back(step);
+    }
+    const std::string path = "/" + std::to_string(draw(schedule, 2)) + "/j" + std::to_string(schedule.paths.size());
+    schedule.paths.push_back(path);
+    schedule.steps[path] = steps;
+    schedule.fleet.submit(path, steps);
+    if (draw(schedule, 4) == 0) { // A caller without an answer repeats its request, and a request may arrive twice.
+        runLater(schedule, 200 + draw(schedule, 8000), [&schedule, path] {
+            schedule.fleet.submit(path, schedule.steps.at(path));
+        });
+    }
+}
+
+/** Submits jobs, at times many at once, and cancels some. */
+void callMixedJobs(MixedSchedule &schedule)
+{
+    constexpr std::uint64_t burst = 8;
+    const std::uint64_t jobs = draw(schedule, 10) == 0 ? burst : draw(schedule, 4);
+    for (std::uint64_t i = 0; i < jobs; ++i) {
+        submitMixedJob(schedule);
+    }
+    if (!schedule.paths.empty() && draw(schedule, 5) == 0) {
+        const std::uint64_t recent = std::min<std::uint64_t>(schedule.paths.size(), 6);
+        schedule.fleet.sendRequest(wire::Operation::JobCancel, schedule.paths[schedule.paths.size() - 1 - draw(schedule, recent)]);
+    }
+}
+
+/** Kills upstreams, which come back under their id after a short or a long time. */
+void restartUpstreams(MixedSchedule &schedule)
+{
+    const std::uint64_t count = draw(schedule, 3) == 0 ? 2 + draw(schedule, 4) : 1;
+    for (std::uint64_t i = 0; i < count; ++i) {
+        fakes::FakeUpstream &upstream = drawUpstream(schedule);
+        const std::uint64_t ms = draw(schedule, 2) == 0 ? 20 + draw(schedule, 180) : 300 + draw(schedule, 3000);
+        schedule.fleet.crash(upstream);
+        runLater(schedule, ms, [&schedule, &upstream] {
+            if (!upstream.alive) {
+                schedule.fleet.restart(upstream);
+            }
+        });
+    }
+}
+
+/** Kills an upstream; another one takes its address. */
+void replaceUpstream(MixedSchedule &schedule)
+{
+    fakes::FakeUpstream &upstream = drawUpstream(schedule);
+    schedule.fleet.crash(upstream);
+    runLater(schedule, 20 + draw(schedule, 3000), [&schedule, &upstream] {
+        if (!upstream.alive) {
+            schedule.fleet.replace(upstream);
+        }
+    });
+}
+
+/** Drains an upstream, which leaves and comes back under its id or another one. */
+void drainUpstream(MixedSchedule &schedule)
+{
+    constexpr std::uint64_t drainMs = 3000;
+    fakes::FakeUpstream &upstream = drawUpstream(schedule);
+    if (!upstream.alive || upstream.draining) {
+        return;
+    }
+    upstream.draining = true;
+    const std::uint64_t leavesMs = drainMs + draw(schedule, 5000);
+    const std::uint64_t backMs = leavesMs + 50 + draw(schedule, 3000);
+    const bool keepsId = draw(schedule, 2) == 0;
+    runLater(schedule, leavesMs, [&schedule, &upstream, incarnation = upstream.incarnation] {
+        if (upstream.alive && upstream.incarnation == incarnation) {
+            schedule.fleet.leave(upstream);
+        }
+    });
+    runLater(schedule, backMs, [&schedule, &upstream, keepsId] {
+        if (upstream.alive) {
+            return;
+        }
+        if (keepsId) {
+            upstream.draining = false;
+            schedule.fleet.restart(upstream);
+        } else {
+            schedule.fleet.replace(upstream);
+        }
+    });
+}
+
+/** Cuts an upstream off in one direction or both, for a time shorter or longer than its lease. */
+void cutUpstream(MixedSchedule &schedule)
+{
+    fakes::FakeUpstream &upstream = drawUpstream(schedule);
+    const std::uint64_t kind = draw(schedule, 4);
+    const std::uint64_t ms = 200 + draw(schedule, draw(schedule, 2) == 0 ? 3000 : 15000);
+    upstream.reachable = kind != 0;
+    upstream.receivesOrders = kind != 1;
+    upstream.sendsHeartbeats = kind != 2;
+    if (kind == 3) {
+        for (std::uint32_t i = 0; i < schedule.fleet.options.controlHosts; ++i) {
+            schedule.fleet.setPartitioned("c" + std::to_string(i), upstream.id, true);
+        }
+    }
+    runLater(schedule, ms, [&schedule, &upstream, id = upstream.id] {
+        upstream.reachable = upstream.receivesOrders = upstream.sendsHeartbeats = true;
+        for (const fakes::FakeHost &host : schedule.fleet.hosts) {
+            schedule.fleet.setPartitioned(host.id, id, false);
+        }
+    });
+}
+
+/** Cuts one link between a host and an upstream. */
+void cutLink(MixedSchedule &schedule)
+{
+    fakes::FakeHost &host = schedule.fleet.hosts[draw(schedule, schedule.fleet.hosts.size())];
+    const std::string upstream = drawUpstream(schedule).id;
+    schedule.fleet.setPartitioned(host.id, upstream, true);
+    runLater(schedule, 200 + draw(schedule, 8000), [&schedule, &host, upstream] {
+        schedule.fleet.setPartitioned(host.id, upstream, false);
+    });
+}
+
+/** @param schedule the schedule. @return whether a control host that lost its disk has caught up since. */
+bool controlMayFail(const MixedSchedule &schedule)
+{
+    constexpr std::uint64_t catchUpMs = 4000;
+    return schedule.diskLostMs == 0 || schedule.fleet.nowMs > schedule.diskLostMs + catchUpMs;
+}
+
+void noteControlFault(MixedSchedule &schedule, std::uint64_t ms)
+{
+    schedule.controlFaultMs = std::max(schedule.controlFaultMs, schedule.fleet.nowMs + ms);
+}
+
+void startIfDead(MixedSchedule &schedule, fakes::FakeHost &host)
+{
+    if (!host.alive) {
+        schedule.fleet.start(host);
+    }
+}
+
+/** Suspends or kills a host, which comes back. */
+void disruptHost(MixedSchedule &schedule, fakes::FakeHost &host)
+{
+    if (!host.alive) {
+        return;
+    }
+    const bool kills = draw(schedule, 2) == 0;
+    const std::uint64_t ms = kills ? 100 + draw(schedule, 1500) : 100 + draw(schedule, draw(schedule, 2) == 0 ? 1200 : 7000);
+    if (host.control) {
+        noteControlFault(schedule, ms);
+    }
+    if (kills) {
+        schedule.fleet.kill(host);
+        runLater(schedule, ms, [&schedule, &host] {
+            startIfDead(schedule, host);
+        });
+    } else {
+        schedule.fleet.suspend(host, ms);
+    }
+}
+
+void disruptControlHost(MixedSchedule &schedule)
+{
+    if (controlMayFail(schedule)) {
+        disruptHost(schedule, drawControlHost(schedule));
+    }
+}
+
+void disruptEntryHost(MixedSchedule &schedule)
+{
+    const fakes::FleetOptions &options = schedule.fleet.options;
+    fakes::FakeHost &host = schedule.fleet.hosts[options.controlHosts + draw(schedule, options.entryHosts)];
+    if (draw(schedule, 4) == 0) {
+        host.draining = !host.draining;
+    } else {
+        disruptHost(schedule, host);
+    }
+}
+
+/** Disrupts the leader right after it has sent a start or an acknowledgement, or an upstream has listed an end. */
+void disruptLeaderAfterStep(MixedSchedule &schedule)
+{
+    constexpr std::uint64_t stepMs = 5;
+    constexpr std::uint64_t maxWaitMs = 1000;
+    if (!controlMayFail(schedule)) {
+        return;
+    }
+    const Fleet &fleet = schedule.fleet;
+    const std::uint64_t kind = draw(schedule, 3);
+    const auto count = [&fleet, kind] {
+        return kind == 0 ? fleet.startsSent : kind == 1 ? fleet.acknowledgementsSent : fleet.doneEndsListed;
+    };
+    const std::uint64_t before = count();
+    for (std::uint64_t passedMs = 0; passedMs < maxWaitMs && count() == before; passedMs += stepMs) {
+        advance(schedule, stepMs);
+    }
+    advance(schedule, draw(schedule, 12) * stepMs);
+    if (fakes::FakeHost *leader = schedule.fleet.leader()) {
+        disruptHost(schedule, *leader);
+    }
+}
+
+/** Disrupts one leader after another within a lease. */
+void failOverRepeatedly(MixedSchedule &schedule)
+{
+    if (!controlMayFail(schedule)) {
+        return;
+    }
+    const std::uint64_t count = 2 + draw(schedule, 3);
+    for (std::uint64_t i = 0; i < count; ++i) {
+        if (fakes::FakeHost *leader = schedule.fleet.leader()) {
+            disruptHost(schedule, *leader);
+        }
+        advance(schedule, 200 + draw(schedule, 2000));
+    }
+}
+
+/** Kills all control hosts, which are back within a second. */
+void killAllControlHosts(MixedSchedule &schedule)
+{
+    if (!controlMayFail(schedule)) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < schedule.fleet.options.controlHosts; ++i) {
+        fakes::FakeHost &host = schedule.fleet.hosts[i];
+        if (host.alive) {
+            schedule.fleet.kill(host);
+        }
+        const std::uint64_t ms = 100 + draw(schedule, 800);
+        noteControlFault(schedule, ms);
+        runLater(schedule, ms, [&schedule, &host] {
+            startIfDead(schedule, host);
+        });
+    }
+}
+
+/** Partitions a control host from other hosts. */
+void partitionControlHost(MixedSchedule &schedule)
+{
+    if (!controlMayFail(schedule)) {
+        return;
+    }
+    fakes::FakeHost &host = drawControlHost(schedule);
+    const std::uint64_t ms = 100 + draw(schedule, 4000);
+    const bool control = draw(schedule, 2) == 0;
+    noteControlFault(schedule, control ? ms : 0);
+    for (fakes::FakeHost &other : schedule.fleet.hosts) {
+        const bool cut = control ? other.control : draw(schedule, 2) == 0 && !other.control;
+        if (other.id == host.id || !cut) {
+            continue;
+        }
+        schedule.fleet.setPartitioned(host.id, other.id, true);
+        runLater(schedule, ms, [&schedule, &host, &other] {
+            schedule.fleet.setPartitioned(host.id, other.id, false);
+        });
+    }
+}
+
+/** A control host loses its disk while no other one has a fault, and for the time to catch up before and after. */
+void loseDisk(MixedSchedule &schedule)
+{
+    constexpr std::uint64_t catchUpMs = 4000;
+    if (!controlMayFail(schedule) || schedule.fleet.nowMs <= schedule.controlFaultMs + catchUpMs || schedule.fleet.leader() == nullptr) {
+        return;
+    }
+    fakes::FakeHost &host = drawControlHost(schedule);
+    schedule.fleet.kill(host, true);
+    const std::uint64_t ms = 100 + draw(schedule, 2000);
+    schedule.diskLostMs = schedule.fleet.nowMs + ms;
+    noteControlFault(schedule, ms);
+    runLater(schedule, ms, [&schedule, &host] {
+        startIfDead(schedule, host);
+    });
+}
+
+/** Faults of a mixed schedule; those listed twice are drawn more often. */
+constexpr std::array<void (*)(MixedSchedule &), 14> mixedFaults = {restartUpstreams,
+                                                                   restartUpstreams,
+                                                                   replaceUpstream,
+                                                                   drainUpstream,
+                                                                   cutUpstream,
+                                                                   cutUpstream,
+                                                                   cutLink,
+                                                                   disruptControlHost,
+                                                                   disruptEntryHost,
+                                                                   disruptLeaderAfterStep,
+                                                                   disruptLeaderAfterStep,
+                                                                   failOverRepeatedly,
+                                                                   partitionControlHost,
+                                                                   loseDisk};
+
+/** Ends all faults. */
+void heal(MixedSchedule &schedule)
+{
+    Fleet &fleet = schedule.fleet;
+    constexpr std::uint64_t longestFaultMs = 16000;
+    fleet.orderFaults = {};
+    advance(schedule, longestFaultMs); // The actions that end the faults are due by then.
+    for (fakes::FakeHost &host : fleet.hosts) {
+        startIfDead(schedule, host);
+        host.draining = false;
+        host.partitionedFrom.clear();
+    }
+    for (fakes::FakeUpstream &upstream : fleet.upstreams) {
+        upstream.reachable = upstream.receivesOrders = upstream.sendsHeartbeats = true;
+        upstream.draining = false;
+        if (!upstream.alive) {
+            fleet.restart(upstream);
+        }
+    }
+}
+
+/** Runs a stream of jobs with combined faults, during which the fleet checks the guarantees. @return the violations; empty for none. */
+std::string runMixedSchedule(std::uint64_t seed)
+{
+    FleetOptions options;
+    const bool couriers = seed % 2 == 0;
+    options.minUpstreamsForCouriers = couriers ? 1 : options.minUpstreamsForCouriers;
+    options.entryHosts = couriers ? 4 : options.entryHosts;
+    options.seed = seed;
+    options.failShare = 0.06;
+    options.allowedShare = 0.85;
+    MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}};
+    Fleet &fleet = schedule.fleet;
+    fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
+    waitUntilReady(fleet);
+    const bool advised = draw(schedule, 2) == 0;
+    CHECK(fleet.putPlan(2, 3, advised));
+    fleet.orderFaults.delayedShare = 0.04;
+    fleet.orderFaults.lostShare = 0.02;
+    fleet.orderFaults.unansweredShare = 0.03;
+    fleet.orderFaults.slowShare = 0.1;
+    fleet.orderFaults.delayedReportShare = 0.03;
+    fleet.hostFaults.maxHeldMs = 1500;
+    for (int round = 0; round < 30; ++round) {
+        callMixedJobs(schedule);
+        advance(schedule, draw(schedule, 300));
+        const std::uint64_t faults = draw(schedule, 4);
+        for (std::uint64_t i = 0; i < faults; ++i) {
+            mixedFaults[draw(schedule, mixedFaults.size())](schedule);
+            advance(schedule, draw(schedule, 200));
+        }
+        if (draw(schedule, 40) == 0) {
+            killAllControlHosts(schedule);
+        }
+        advance(schedule, 100 + draw(schedule, 700));
+    }
+    heal(schedule);
+    constexpr std::uint64_t drainBacklogMs = 40000;
+    fleet.run(drainBacklogMs);
+    fleet.checkFailedJobs();
+    std::string text = violationsText(fleet);
+    for (const auto &[number, job] : fleet.leader() == nullptr ? std::map<std::uint64_t, job::Job>{} : fleet.leader()->host->state.jobs) {
+        if (!job::hasEnded(job.phase)) {
+            text += "LOST job " + job.spec.id + " phase " + std::to_string(static_cast<int>(job.phase)) + "\n";
+        }
+    }
+    for (const fakes::FakeUpstream &upstream : fleet.upstreams) {
+        for (const auto &[name, run] : upstream.runs) {
+            text += "UNASKED " + name + " still runs on " + upstream.id + "\n";
+        }
+    }
+    return text;
+}
+
+/** Runs schedules by their seeds. @param run runs one and returns its violations. */
+void runSchedules(const std::function<std::string(std::uint64_t)> &run)
 {
     const char *limit = std::getenv("ROSEMARYTURN_SCHEDULES"); // For manual runs of more schedules than in CI.
     const std::uint64_t count = limit == nullptr ? 12 : std::strtoull(limit, nullptr, 10);
     const char *firstSeed = std::getenv("ROSEMARYTURN_SEED"); // For manual runs: the first seed.
     for (std::uint64_t seed = firstSeed == nullptr ? 1 : std::strtoull(firstSeed, nullptr, 10); seed <= count; ++seed) {
-        const std::string violations = runSchedule(seed, couriers);
+        const std::string violations = run(seed);
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), violations);
     }
 }
@@ -159,10 +588,19 @@
 
 TEST_CASE(Deployment, RandomSchedulesKeepThePromises)
 {
-    runSchedules(false);
+    runSchedules([](std::uint64_t seed) {
+        return runSchedule(seed, false);
+    });
 }
 
 TEST_CASE(Deployment, RandomSchedulesWithCouriersKeepThePromises)
 {
-    runSchedules(true);
+    runSchedules([](std::uint64_t seed) {
+        return runSchedule(seed, true);
+    });
+}
+
+TEST_CASE(Deployment, MixedSchedulesKeepThePromises)
+{
+    runSchedules(runMixedSchedule);
 }
