--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -519,6 +519,7 @@
     options.seed = seed;
     options.failShare = 0.06;
     options.allowedShare = 0.85;
+    options.crashesBreakGangs = true;
     MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}};
     Fleet &fleet = schedule.fleet;
     fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -710,6 +710,12 @@
     for (auto &[untilMs, poll] : std::exchange(upstream.waitingPolls, {})) {
         schedule(0, poll);
     }
+    endGang(run, end == wire::RunEnd::Done ? wire::RunEnd::Done : wire::RunEnd::Broken);
+}
+
+/** Ends the other members of the gang that a run belonged to. */
+void Fleet::endGang(const FakeRun &run, wire::RunEnd end)
+{
     const wire::StepSpecT &step = *jobs.at(run.job).steps[run.task.step];
     if (!step.gang) {
         return;
@@ -723,7 +729,7 @@
         }
         for (const std::string &member : members) {
             if (other.runs.count(member) > 0) {
-                endRun(other, member, end == wire::RunEnd::Done ? wire::RunEnd::Done : wire::RunEnd::Broken);
+                endRun(other, member, end);
             }
         }
     }
@@ -887,7 +893,12 @@
         }
     }
     upstream.alive = false;
-    upstream.runs.clear();
+    const std::map<std::string, FakeRun> killed = std::exchange(upstream.runs, {});
+    if (options.crashesBreakGangs) {
+        for (const auto &[name, run] : killed) {
+            endGang(run, wire::RunEnd::Broken);
+        }
+    }
     upstream.ended.clear();
     upstream.startsBeforeEnd.clear();
     // Connections are lost with the process.
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -53,6 +53,7 @@
     std::uint32_t firstHost = 0; ///< Added to the upstreams' speed pattern.
     std::uint64_t crashDelayMs = 0; ///< Time between the start of a crashing task and the crash; at 0 the start gets no answer.
     std::uint64_t crashedForMs = 3000; ///< Time until an upstream that a task crashed is back.
+    bool crashesBreakGangs = false; ///< Whether the crash of an upstream under a member of a gang breaks the others.
     bool newIdAfterCrash = false; ///< Whether it comes back as a new upstream at the same address.
 };
 
@@ -235,6 +236,7 @@
     void returnAfterCrash(FakeUpstream &upstream);
     FakeCapacity countedCapacity(const FakeUpstream &upstream) const;
     deployment::UpstreamReply pollRuns(FakeUpstream &upstream, const deployment::UpstreamCall &call);
+    void endGang(const FakeRun &run, wire::RunEnd end);
     void endRun(FakeUpstream &upstream, const std::string &name, wire::RunEnd end);
     void tickUpstream(FakeUpstream &upstream);
     void startCompleteGang(FakeUpstream &upstream, const FakeRun &run);
