--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -12,14 +12,36 @@
 namespace
 {
 constexpr std::uint64_t heartbeatMs = 1500;
+constexpr std::uint64_t contactMs = 4000;
 constexpr std::uint64_t stopMs = 100;
 constexpr std::uint64_t gangWaitMs = 3000;
 constexpr std::uint64_t ticketMs = 2000;
 constexpr std::uint64_t hostTickMs = 20;
+/** A crashing task may be started fewer than maxStartsAfterCrashes times more after maxCrashes upstreams have crashed under it. */
+constexpr std::uint32_t maxCrashes = 3;
+constexpr std::uint32_t maxStartsAfterCrashes = 3;
+/** Number of crashes under a task from which on its job may be shown as failed. */
+constexpr std::uint32_t crashesToGiveUp = 2;
+
+std::string stepNameOf(const std::string &job, const job::TaskRef &task)
+{
+    return job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step);
+}
 
 std::string nameOf(const std::string &job, const job::TaskRef &task)
 {
-    return job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." + std::to_string(task.index);
+    return stepNameOf(job, task) + "." + std::to_string(task.index);
+}
+
+/** @param counts numbers by the name of a task. @param job the id of a job. @return the highest number of a task of the job; 0 for none. */
+std::uint32_t maxOfJob(const std::map<std::string, std::uint32_t> &counts, const std::string &job)
+{
+    const std::string prefix = job + ".";
+    std::uint32_t highest = 0;
+    for (auto entry = counts.lower_bound(prefix); entry != counts.end() && entry->first.starts_with(prefix); ++entry) {
+        highest = std::max(highest, entry->second);
+    }
+    return highest;
 }
 
 std::string ticketFor(const std::string &step, const std::string &upstream)
@@ -56,6 +78,7 @@
         FakeUpstream upstream;
         upstream.id = "u" + std::to_string(i);
         upstream.address = "a" + std::to_string(i);
+        upstream.capacity = {options.cpuMillis, options.memoryMb};
         upstreams.push_back(std::move(upstream));
     }
     for (FakeUpstream &upstream : upstreams) {
@@ -204,6 +227,10 @@
             }
         }
     }
+    if (!partitioned) {
+        deliverHeld(a, b);
+        deliverHeld(b, a);
+    }
 }
 
 bool Fleet::isConnected(const std::string &a, const std::string &b)
@@ -263,6 +290,9 @@
 void Fleet::deliver(const std::string &from, const std::string &to, std::function<void(FakeHost &, deployment::HostOutput &)> action)
 {
     if (!isConnected(from, to)) {
+        if (hostFaults.maxHeldMs > 0) {
+            m_held[{from, to}].push_back({nowMs, host(from).generation, host(to).generation, std::move(action)});
+        }
         return;
     }
     schedule(options.networkDelayMs, [this, from, to, generation = host(to).generation, action = std::move(action)] {
@@ -272,6 +302,22 @@
     });
 }
 
+void Fleet::deliverHeld(const std::string &from, const std::string &to)
+{
+    const auto found = m_held.find({from, to});
+    if (found == m_held.end()) {
+        return;
+    }
+    const std::vector<HeldMessage> messages = std::move(found->second);
+    m_held.erase(found);
+    for (const HeldMessage &message : messages) {
+        const bool sameProcesses = host(from).generation == message.senderGeneration && host(to).generation == message.receiverGeneration;
+        if (sameProcesses && nowMs <= message.sentMs + hostFaults.maxHeldMs) {
+            deliver(from, to, message.action);
+        }
+    }
+}
+
 void Fleet::emit(FakeHost &self, deployment::HostOutput output)
 {
     for (const deployment::Decision &decision : output.decisions) {
@@ -423,12 +469,18 @@
     const double sample = static_cast<double>(m_random() % parts) / static_cast<double>(parts);
     deployment::UpstreamReply nothing;
     nothing.id = call.id;
-    const bool late = sample < orderFaults.delayedShare;
-    const bool lost = sample < orderFaults.delayedShare + orderFaults.lostShare;
+    const bool exempt = orderFaults.startsOnly && call.kind != deployment::CallKind::Start;
+    const bool late = !exempt && sample < orderFaults.delayedShare;
+    const bool lost = !exempt && sample < orderFaults.delayedShare + orderFaults.lostShare;
     const auto target = std::find_if(upstreams.begin(), upstreams.end(), [&call](const FakeUpstream &upstream) {
         return upstream.address == call.address;
     });
-    const bool reaches = target != upstreams.end() && isConnected(self.id, target->id) && target->reachable && target->alive;
+    const bool reaches = target != upstreams.end() && isConnected(self.id, target->id) && target->reachable && target->receivesOrders && target->alive;
+    startsSent += call.kind == deployment::CallKind::Start ? 1 : 0;
+    if (target != upstreams.end() && call.acknowledge > target->acknowledgeSent) {
+        target->acknowledgeSent = call.acknowledge;
+        ++acknowledgementsSent;
+    }
     if (lost || !reaches) {
         answer(nothing, call.timeoutMs);
         if (late && reaches) { // An upstream can't carry out an order that it didn't receive.
@@ -447,27 +499,34 @@
         }
         return;
     }
-    schedule(options.networkDelayMs, [this, call, answer, nothing, id = self.id, upstream = target->id, incarnation = target->incarnation] {
-        const auto answered = std::make_shared<bool>(false);
-        const bool same = std::any_of(upstreams.begin(), upstreams.end(), [&](const FakeUpstream &other) {
-            return other.id == upstream && other.incarnation == incarnation && other.alive;
-        });
-        if (!same) {
-            answer(nothing, 0); // The connection was lost with the process.
-            return;
-        }
-        executeCall(call, [this, answer, answered, id, upstream](const deployment::UpstreamReply &reply) {
-            if (isConnected(id, upstream)) {
-                *answered = true;
-                answer(reply, options.networkDelayMs);
-            }
-        });
-        schedule(call.timeoutMs, [answer, answered, nothing] {
-            if (!*answered) {
-                answer(nothing, 0);
-            }
-        });
-    });
+    const double unansweredFrom = orderFaults.delayedShare + orderFaults.lostShare;
+    const bool unanswered = !late && !lost && sample < unansweredFrom + orderFaults.unansweredShare;
+    const bool slow = !late && !lost && !unanswered && sample < unansweredFrom + orderFaults.unansweredShare + orderFaults.slowShare;
+    const std::uint64_t transitMs = slow ? m_random() % orderFaults.maxTransitMs : 0;
+    const std::uint64_t orderMs = slow && m_random() % 2 == 0 ? transitMs : 0;
+    const std::uint64_t answerMs = options.networkDelayMs + transitMs - orderMs;
+    schedule(options.networkDelayMs + orderMs,
+             [this, call, answer, orderMs, answerMs, nothing, unanswered, id = self.id, upstream = target->id, incarnation = target->incarnation] {
+                 const auto answered = std::make_shared<bool>(false);
+                 const bool same = std::any_of(upstreams.begin(), upstreams.end(), [&](const FakeUpstream &other) {
+                     return other.id == upstream && other.incarnation == incarnation && other.alive;
+                 });
+                 if (!same) {
+                     answer(nothing, 0); // The connection was lost with the process.
+                     return;
+                 }
+                 executeCall(call, [this, answer, answerMs, answered, unanswered, id, upstream](const deployment::UpstreamReply &reply) {
+                     if (isConnected(id, upstream) && !unanswered) {
+                         *answered = true;
+                         answer(reply, answerMs);
+                     }
+                 });
+                 schedule(call.timeoutMs - std::min(orderMs, call.timeoutMs), [answer, answered, nothing] {
+                     if (!*answered) {
+                         answer(nothing, 0);
+                     }
+                 });
+             });
 }
 
 void Fleet::executeCall(const deployment::UpstreamCall &call, const std::function<void(const deployment::UpstreamReply &)> &reply)
@@ -499,7 +558,7 @@
                 const auto self = std::find_if(upstreams.begin(), upstreams.end(), [&id](const FakeUpstream &other) {
                     return other.id == id;
                 });
-                if (self->alive && self->incarnation == incarnation) {
+                if (self != upstreams.end() && self->alive && self->incarnation == incarnation) {
                     reply(pollRuns(*self, call));
                 } else {
                     deployment::UpstreamReply nothing;
@@ -511,6 +570,12 @@
         }
     } else if (call.kind == deployment::CallKind::Start) {
         result = startRun(upstream, call);
+        if (!upstream.alive) {
+            deployment::UpstreamReply nothing; // The connection was lost with the process.
+            nothing.id = call.id;
+            reply(nothing);
+            return;
+        }
     } else {
         stopRun(upstream, call);
         result.status = deployment::CallStatus::Done;
@@ -558,8 +623,7 @@
         return reply;
     }
     const wire::StepSpecT &step = *job->second.steps[call.task.step];
-    const std::string stepName = call.job + "." + std::to_string(call.task.occurrence) + "." + std::to_string(call.task.step);
-    if (m_advised && call.ticket != ticketFor(stepName, upstream.id)) {
+    if (m_advised && call.ticket != ticketFor(stepNameOf(call.job, call.task), upstream.id)) {
         reply.status = deployment::CallStatus::BadTicket;
         return reply;
     }
@@ -576,11 +640,23 @@
         run.waiting = true;
         run.gangDeadlineMs = nowMs + gangWaitMs;
     }
-    ++starts;
+    m_lastStarts[step.gang ? stepNameOf(call.job, call.task) : name] = ++starts;
     traceLine(upstream.id + " start " + name + " run " + std::to_string(call.run) + " fence " + std::to_string(call.fence));
     upstream.runs[name] = run;
     startCompleteGang(upstream, run);
     reply.status = deployment::CallStatus::Done;
+    if (crashingJobs.count(call.job) > 0 && options.crashDelayMs == 0) {
+        crashByTask(upstream);
+    } else if (crashingJobs.count(call.job) > 0) {
+        schedule(options.crashDelayMs, [this, id = upstream.id, incarnation = upstream.incarnation, name, number = call.run] {
+            for (FakeUpstream &target : upstreams) {
+                const auto found = target.runs.find(name);
+                if (target.id == id && target.incarnation == incarnation && found != target.runs.end() && found->second.number == number) {
+                    crashByTask(target);
+                }
+            }
+        });
+    }
     return reply;
 }
 
@@ -629,10 +705,17 @@
     upstream.runs.erase(name);
     upstream.closedRuns[name] = std::max(upstream.closedRuns[name], run.number);
     aloneEnds += end == wire::RunEnd::Alone ? 1 : 0;
+    upstream.startsBeforeEnd[upstream.nextEnd] = starts;
     upstream.ended.push_back({upstream.nextEnd++, run.job, run.task, run.number, end, ""});
     for (auto &[untilMs, poll] : std::exchange(upstream.waitingPolls, {})) {
         schedule(0, poll);
     }
+    endGang(run, end == wire::RunEnd::Done ? wire::RunEnd::Done : wire::RunEnd::Broken);
+}
+
+/** Ends the other members of the gang that a run belonged to. */
+void Fleet::endGang(const FakeRun &run, wire::RunEnd end)
+{
     const wire::StepSpecT &step = *jobs.at(run.job).steps[run.task.step];
     if (!step.gang) {
         return;
@@ -646,7 +729,7 @@
         }
         for (const std::string &member : members) {
             if (other.runs.count(member) > 0) {
-                endRun(other, member, end == wire::RunEnd::Done ? wire::RunEnd::Done : wire::RunEnd::Broken);
+                endRun(other, member, end);
             }
         }
     }
@@ -672,8 +755,13 @@
         if (end.number <= upstream.lapsedEnd) {
             return true;
         }
+        checkEarlierStarts(upstream, end);
+        const bool gang = jobs.at(end.job).steps[end.task.step]->gang;
         if (end.end == wire::RunEnd::Done) {
             m_recordedDone.insert(name);
+            if (gang) {
+                m_recordedDoneGangs.insert(stepNameOf(end.job, end.task));
+            }
         } else if (end.end == wire::RunEnd::Failed) {
             ++m_recordedFailed[name];
         }
@@ -685,12 +773,38 @@
     reply.ended = upstream.ended;
     for (const deployment::ListedEnd &end : upstream.ended) {
         if (end.end == wire::RunEnd::Done) {
-            m_listedDone.insert(nameOf(end.job, end.task));
+            doneEndsListed += m_listedDone.insert(nameOf(end.job, end.task)).second ? 1 : 0;
+        } else if (end.end == wire::RunEnd::Failed) {
+            const bool gang = jobs.at(end.job).steps[end.task.step]->gang;
+            m_listedFailed[gang ? stepNameOf(end.job, end.task) : nameOf(end.job, end.task)].insert(end.run);
         }
     }
     return reply;
 }
 
+/** Reports starts between an end and its acknowledgement that the end forbids: of a task that was done, or had failed as often as its attempts. */
+void Fleet::checkEarlierStarts(FakeUpstream &upstream, const deployment::ListedEnd &end)
+{
+    const std::string name = nameOf(end.job, end.task);
+    const bool gang = jobs.at(end.job).steps[end.task.step]->gang;
+    const std::uint64_t lastStart = m_lastStarts[gang ? stepNameOf(end.job, end.task) : name];
+    const std::uint64_t startsBefore = upstream.startsBeforeEnd[end.number];
+    const auto report = [&](const char *rule) {
+        violations.push_back(std::string(rule) + " " + name + " before end " + std::to_string(end.number) + " of run " + std::to_string(end.run) + " on "
+                             + upstream.id + " was acknowledged at " + std::to_string(nowMs));
+    };
+    if (end.end == wire::RunEnd::Done && lastStart > startsBefore) {
+        report("TWICE started");
+    }
+    if (end.end == wire::RunEnd::Failed) {
+        std::multiset<std::uint64_t> &failed = m_startsBeforeFailed[name];
+        failed.insert(startsBefore);
+        if (failed.size() >= m_attempts && lastStart > *std::next(failed.begin(), m_attempts - 1)) {
+            report("BUDGET started");
+        }
+    }
+}
+
 void Fleet::checkStart(const FakeUpstream &upstream, const deployment::UpstreamCall &call, const wire::StepSpecT &step)
 {
     const std::string name = nameOf(call.job, call.task);
@@ -706,7 +820,8 @@
     const auto report = [&](const char *rule) {
         violations.push_back(std::string(rule) + " " + name + " run " + std::to_string(call.run) + " on " + upstream.id + " at " + std::to_string(nowMs));
     };
-    if (cpu > options.cpuMillis || memory > options.memoryMb) {
+    const FakeCapacity capacity = countedCapacity(upstream);
+    if (cpu > capacity.cpuMillis || memory > capacity.memoryMb) {
         report("LIMIT");
     }
     if (step.mostPerUpstream > 0 && runsOfStep > step.mostPerUpstream) {
@@ -717,12 +832,15 @@
             report("TWICE running");
         }
     }
-    if (m_recordedDone.count(name) > 0) {
+    if (m_recordedDone.count(name) > 0 || (step.gang && m_recordedDoneGangs.count(stepNameOf(call.job, call.task)) > 0)) {
         report("TWICE done");
     }
     if (m_recordedFailed[name] >= m_attempts) {
         report("BUDGET");
     }
+    if (crashingJobs.count(call.job) > 0 && m_crashesUnder[name] >= maxCrashes && ++m_startsAfterCrashes[name] >= maxStartsAfterCrashes) {
+        report("BUDGET crashes");
+    }
     for (const std::uint32_t earlier : step.after) {
         const wire::StepSpecT &dependency = *jobs.at(call.job).steps[earlier];
         bool done = !dependency.gang;
@@ -769,15 +887,108 @@
 
 void Fleet::crash(FakeUpstream &upstream)
 {
+    if (upstream.alive && !upstream.draining) {
+        for (const auto &[name, run] : upstream.runs) {
+            ++m_crashesUnder[name];
+        }
+    }
     upstream.alive = false;
-    upstream.runs.clear();
+    const std::map<std::string, FakeRun> killed = std::exchange(upstream.runs, {});
+    if (options.crashesBreakGangs) {
+        for (const auto &[name, run] : killed) {
+            endGang(run, wire::RunEnd::Broken);
+        }
+    }
     upstream.ended.clear();
+    upstream.startsBeforeEnd.clear();
     // Connections are lost with the process.
     for (auto &[untilMs, poll] : std::exchange(upstream.waitingPolls, {})) {
         schedule(0, poll);
     }
 }
 
+void Fleet::crashByTask(FakeUpstream &upstream)
+{
+    ++crashesByTasks;
+    traceLine(upstream.id + " crashes, crash " + std::to_string(crashesByTasks) + ", with " + std::to_string(upstream.runs.size()) + " runs");
+    crash(upstream);
+    schedule(options.crashedForMs, [this, id = upstream.id, incarnation = upstream.incarnation] {
+        for (FakeUpstream &target : upstreams) {
+            if (target.id == id && target.incarnation == incarnation && !target.alive) {
+                returnAfterCrash(target);
+            }
+        }
+    });
+}
+
+void Fleet::returnAfterCrash(FakeUpstream &upstream)
+{
+    if (options.newIdAfterCrash) {
+        replace(upstream);
+    } else {
+        restart(upstream);
+    }
+}
+
+void Fleet::replace(FakeUpstream &upstream)
+{
+    crash(upstream);
+    // The last digit stays, since the rack and the speed of the clock depend on it. Partitions of the earlier id don't apply to the new one.
+    upstream.id = std::to_string(++m_replacements) + upstream.id.substr(upstream.id.find('u'));
+    upstream.draining = false;
+    restart(upstream);
+}
+
+void Fleet::leave(FakeUpstream &upstream)
+{
+    wire::RequestT request;
+    request.operation = wire::Operation::UpstreamLeave;
+    request.waitMs = 900;
+    request.worker = upstream.id;
+    report(upstream, std::move(request));
+    crash(upstream);
+}
+
+void Fleet::setCapacity(FakeUpstream &upstream, FakeCapacity capacity)
+{
+    upstream.earlierCapacities.emplace_back(nowMs, upstream.capacity);
+    upstream.capacity = capacity;
+}
+
+FakeCapacity Fleet::countedCapacity(const FakeUpstream &upstream) const
+{
+    FakeCapacity counted = upstream.capacity;
+    for (const auto &[changedMs, capacity] : upstream.earlierCapacities) {
+        if (nowMs <= changedMs + contactMs + heartbeatMs) {
+            counted.cpuMillis = std::max(counted.cpuMillis, capacity.cpuMillis);
+            counted.memoryMb = std::max(counted.memoryMb, capacity.memoryMb);
+        }
+    }
+    return counted;
+}
+
+void Fleet::checkFailedJobs()
+{
+    const FakeHost *host = leader();
+    if (host == nullptr) {
+        violations.emplace_back("LOST no leader shows the jobs");
+        return;
+    }
+    for (const auto &[number, job] : host->host->state.jobs) {
+        const std::string &id = job.spec.id;
+        if (job.phase != job::Phase::Failed || crashingJobs.count(id) > 0) {
+            continue;
+        }
+        const std::string prefix = id + ".";
+        const bool failed = std::any_of(m_listedFailed.begin(), m_listedFailed.end(), [&](const auto &entry) {
+            return entry.first.starts_with(prefix) && entry.second.size() >= m_attempts;
+        });
+        if (!failed && maxOfJob(m_crashesUnder, id) < crashesToGiveUp) {
+            violations.push_back("LOST failed " + id);
+        }
+    }
+}
+
 void Fleet::restart(FakeUpstream &upstream)
 {
     crash(upstream);
@@ -789,6 +1000,7 @@
     upstream.leaseUntilMs = 0;
     upstream.nextEnd = 1;
     upstream.lapsedEnd = 0;
+    upstream.acknowledgeSent = 0;
     upstream.closedRuns.clear();
     const auto repeat = std::make_shared<std::function<void()>>();
     constexpr std::uint64_t tickMs = 10;
@@ -804,7 +1016,9 @@
                 *passed += tickMs;
                 if (*passed >= heartbeatMs) {
                     *passed = 0;
-                    sendHeartbeat(self);
+                    if (self.sendsHeartbeats) {
+                        sendHeartbeat(self);
+                    }
                 }
                 schedule(tickMs, *repeat);
             }
@@ -828,14 +1042,28 @@
     seen.address = upstream.address;
     seen.service = "s";
     seen.labels = {"a", "r" + std::to_string(upstream.id.back() % 3)};
-    seen.cpuMillis = options.cpuMillis;
-    seen.memoryMb = options.memoryMb;
+    seen.cpuMillis = upstream.capacity.cpuMillis;
+    seen.memoryMb = upstream.capacity.memoryMb;
     seen.draining = upstream.draining;
+    report(upstream, std::move(request));
+}
+
+/** Sends a heartbeat or a departure to a control host that the upstream reaches. */
+void Fleet::report(const FakeUpstream &upstream, wire::RequestT request)
+{
     for (std::size_t tries = 0; tries < 4; ++tries) {
         FakeHost &target = hosts[m_random() % options.controlHosts];
         if (target.alive && isConnected(target.id, upstream.id) && upstream.reachable) {
+            std::uint64_t lateMs = 0;
+            if (orderFaults.delayedReportShare > 0) {
+                constexpr std::size_t parts = 10000;
+                constexpr std::uint64_t earliestMs = 2000;
+                constexpr std::uint64_t spreadMs = 10000;
+                const bool late = static_cast<double>(m_random() % parts) < orderFaults.delayedReportShare * static_cast<double>(parts);
+                lateMs = late ? earliestMs + m_random() % spreadMs : 0;
+            }
             schedule(
-                options.networkDelayMs,
+                options.networkDelayMs + lateMs,
                 [this, id = target.id, generation = target.generation, body = std::make_shared<wire::RequestT>(std::move(request)), token = m_nextToken++] {
                     onHost(id, generation, [this, body, token](FakeHost &self, deployment::HostOutput &output) {
                         deployment::handleLocalRequest(*self.host, token, *body, now(), output);
