deployment: Don't send a start again once its task is done

What callers saw: a task that was done is started again (TWICE).

Cause: the end of one member of a gang is recorded for all of them, while the start of another member still has no answer. The leader sent that start again until it was answered or the upstream was silent. An upstream that was started anew under its id meanwhile knows nothing of the gang and takes it. Only the first sending, at the record of the placement, looked at the task; repetitions looked at the upstream alone.

Change: a repetition asks the same question as the first sending: is the job going on, the task not done and the run the active one? If not, the run is voided. An order that a courier returns asks it too (by reading, not seen in a run).

Test, seen failing before with `TWICE done j1.0.0.1 run 1 on u1 at 105013`: Deployment.TheStartOfAGangMemberIsNotSentAgainOnceTheGangIsDone.

--- a/Source/deployment/hostdelivery.cpp
+++ b/Source/deployment/hostdelivery.cpp
@@ -8,14 +8,18 @@
 {
 namespace
 {
-/** Prepares a returned order for being sent again. @return false if the upstream has restarted since the order was sent. */
-bool prepareResend(Leader &leader, UpstreamCall &call)
+/** Prepares a returned order for being sent again. @return false if the upstream has restarted since the order was sent, or its run isn't wanted any more. */
+bool prepareResend(Leader &leader, const job::State &state, UpstreamCall &call)
 {
     const auto open = leader.pendingCalls.find(call.id);
     const auto upstreamState = open == leader.pendingCalls.end() ? leader.upstreams.end() : leader.upstreams.find(open->second.upstream);
     if (upstreamState == leader.upstreams.end() || upstreamState->second.registration.born != open->second.incarnation) {
         return false;
     }
+    if (call.kind == CallKind::Start) {
+        const auto run = upstreamState->second.runs.find(call.task);
+        return run != upstreamState->second.runs.end() && run->second.number == call.run && internal::isWanted(state, run->second);
+    }
     if (call.kind == CallKind::Poll) {
         // An upstream process that isn't known yet may answer: the acknowledgement and the lease renewal were meant for the previous one.
         call.acknowledge = 0;
@@ -128,7 +132,7 @@
 void handleReturnedOrders(Host &host, ReturnedOrders returned, const Now &now, HostOutput &output)
 {
     for (UpstreamCall &call : returned.resend) {
-        if (prepareResend(host.leader, call)) {
+        if (prepareResend(host.leader, host.state, call)) {
             output.upstreamCalls.push_back(std::move(call));
         }
     }
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -368,6 +368,7 @@
 void tickUpstreams(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 
 // leaderruns.cpp
+bool isWanted(const job::State &state, const upstream::Run &run);
 void sendStart(Leader &leader, const job::State &state, upstream::UpstreamState &upstreamState, upstream::Run &run, const Now &now, LeaderOutput &output);
 void sendStop(Leader &leader, const job::State &state, upstream::UpstreamState &upstreamState, upstream::Run &run, const Now &now, LeaderOutput &output);
 void requestStop(Leader &leader, const job::State &state, upstream::UpstreamState &upstreamState, upstream::Run &run, const Now &now, LeaderOutput &output);
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -68,7 +68,7 @@
 
 void tickStarting(Leader &leader, const job::State &state, UpstreamState &upstreamState, Run &run, const Now &now, LeaderOutput &output)
 {
-    if (run.stopRequested || !mayStillStart(leader, upstreamState, now)) {
+    if (run.stopRequested || !isWanted(state, run) || !mayStillStart(leader, upstreamState, now)) {
         run.phase = RunPhase::Voiding;
         run.stopAnswered = false;
         return;
@@ -85,6 +85,14 @@
 }
 }
 
+/** @return whether the records still ask for a run: its job hasn't ended, and its task is neither done, as by another member of its gang, nor placed anew. */
+bool isWanted(const job::State &state, const Run &run)
+{
+    const auto job = state.jobs.find(run.task.job);
+    const job::Task *task = job::findTask(state, run.task);
+    return job != state.jobs.end() && !job::hasEnded(job->second.phase) && task != nullptr && !task->done && task->activeRun == run.number;
+}
+
 void sendStart(Leader &leader, const job::State &state, UpstreamState &upstreamState, Run &run, const Now &now, LeaderOutput &output)
 {
     const job::Job &job = state.jobs.at(run.task.job);
@@ -133,7 +141,7 @@
         }
         const job::Task *current = job::findTask(state, task);
         const bool isActive = current != nullptr && current->activeRun == placed.run();
-        const bool startable = isActive && !job::hasEnded(state.jobs.at(task.job).phase) && !current->done && !run->second.stopRequested;
+        const bool startable = isWanted(state, run->second) && !run->second.stopRequested;
         if (startable && mayStillStart(leader, upstreamState->second, now) && !upstreamState->second.silent && upstreamState->second.clock.known) {
             sendStart(leader, state, upstreamState->second, run->second, now, output);
             continue;
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -414,6 +414,38 @@
     CHECK(fleet.starts >= 4);
 }
 
+/** The start of a gang's member got no answer, and the gang was done before it was listed. The start was sent again, to a process that had taken the upstream's
+ * place and knew nothing of the gang. */
+TEST_CASE(Deployment, TheStartOfAGangMemberIsNotSentAgainOnceTheGangIsDone)
+{
+    FleetOptions options;
+    options.upstreams = 2;
+    options.cpuMillis = 4000;
+    Fleet fleet(options);
+    waitUntilReady(fleet);
+    CHECK(fleet.putPlan(1, 2, false));
+    wire::StepSpecT gang = makeStep(2, 4000, 100);
+    gang.gang = true;
+    wire::StepSpecT second = makeStep(1, 1000, 9000);
+    second.after = {0};
+    fleet.submit("/0/j1", {gang, second});
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.startsSent == 2;
+        },
+        1000));
+    partitionFromControl(fleet, "u1", true); // The starts are on their way; the answer of this upstream doesn't arrive.
+    fleet.run(450);
+    CHECK_EQUAL(std::uint64_t{3}, fleet.starts); // Of the gang and of the next step.
+    fleet.restart(fleet.upstreams[1]);
+    fleet.upstreams[1].sendsHeartbeats = false;
+    partitionFromControl(fleet, "u1", false);
+    fleet.run(1500);
+    fleet.upstreams[1].sendsHeartbeats = true;
+    CHECK_TEXT("", violationsText(fleet));
+    CHECK(completes(fleet, "/0/j1", 15000));
+}
+
 /** After the loss of a leader, a backlog of wide steps that didn't fit came first in the waiting order, and the small steps behind them were never tried. */
 TEST_CASE(Deployment, SmallStepsArePlacedBehindABacklogThatDoesNotFit)
 {
