deployment: Replace a voter that is lost for good

The members stay lost:voter, B:voter, C:voter, D:learner, and a disk wiped later leaves one of three voters: no leader, no configuration.

Cause, three parts:

* The learner was promoted only if the voters, the silent one included, became an odd number (3 + 1 is 4), and a voter was removed only if more than minVoters remained (3 > 3).
Each waited for the other.
* A learner counted as ready only while it held the newest committed entry.
One that failed after its last acknowledgement still counted.
* A new leader counted the silence of the lost one from the time it led itself, so split votes added to the 8 s.

Change: a silent voter is removed if more than minVoters vote or are ready to; promoteLearner() then promotes a ready one at the next check. Ready is a learner that answered within an election timeout and holds the log up to the previous check, 200 ms ago. The silence of the previous leader counts from its last message.

Why each step is safe (L lost, B and C alive, D the replacement):

L B C, D learns: two of three. Nothing is removed before D answers and holds the log. If L returns, it counts at once. 2. B C, D learns (0.26 s): two of two. Any majority of step 1 has B or C, so committed entries stay, and no leader can be elected without one of them. The loss of B or C leaves no leader, as at step 1 with L gone; the loss of D changes nothing. If L returns, its log lacks the removal, so B and C refuse it their votes, and it is added as a learner. Worse than step 1 is only the loss of B or C for good together with the return of L within this time. 3. B C D: two of three; any one loss leaves a majority.

Each step changes one voter and starts only when the one before is committed, under the lease, in the leader's own term.

Ruled out: promoting D first (L B C D, three of four): the loss of D in that time leaves no leader, while it is harmless at step 1; seen in a trial, AnEventDuringTheReplacementLeavesAMajority fails on it. Both in one change: it changes two voters. A shorter removeAfterMs: removes hosts that are only suspended. Known limit: a leader that was cut off from its successor alone counts as silent since that cut; it is removed earlier than 8 s after others last heard it if it also fails, a learner is ready, and that successor is elected.

Tests in Tests/deployment/membership.cpp. Seen failing with a mutant: AVoterThatIsSilentForAShortTimeStays (half of the time), ASilentVoterStaysWithoutAReplacement (no minimum), ...IsSilentToo (no answer needed), ASilentVoterStaysWhileTheReplacementLags (no log needed), AnEventDuring... Not seen failing: FiveOfSixHostsVoteAfterALoss, which passes before and after. The fake fleet can lengthen the links of a host.

--- a/Source/consensus/node.h
+++ b/Source/consensus/node.h
@@ -86,6 +86,7 @@
     std::string leader; ///< Host id; empty while unknown.
     std::uint64_t electionDeadlineMs = 0;
     std::uint64_t lastLeaderContactMs = 0; ///< Time of the last leader contact; no vote is granted until electionMs later.
+    std::string lastLeader; ///< Host id of the leader of that contact; empty if there was none since the start of the process.
     bool hasCurrentTermCommit = false; ///< The commit index covers an entry of the current term, as announced by its leader.
 
     std::map<std::string, bool, std::less<>> votes;
--- a/Source/consensus/replication.cpp
+++ b/Source/consensus/replication.cpp
@@ -168,6 +168,7 @@
 void recordLeaderContact(Node &node, const wire::ConsensusMessageT &message, std::uint64_t nowMs)
 {
     node.leader = message.from;
+    node.lastLeader = message.from;
     node.lastLeaderContactMs = nowMs;
     node.role = Role::Follower;
     resetElectionDeadline(node, nowMs);
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -32,8 +32,8 @@
     std::uint64_t retryDelayMs = 40; ///< Delay before a request is forwarded again.
     std::uint64_t topologyIntervalMs = 500; ///< Interval between queries for the leader and the control hosts.
     std::uint64_t leaderValidityMs = 2500; ///< How long a reported leader stays valid.
-    std::uint64_t removeAfterMs = 8000; ///< Time without contact after which a voter beyond minVoters is removed from the group.
-    std::size_t minVoters = 3;
+    std::uint64_t removeAfterMs = 8000; ///< Time without contact after which a member is removed from the group, a voter only down to minVoters.
+    std::size_t minVoters = 3; ///< Minimum of voters and learners that are ready to vote after a voter is removed.
     std::size_t maxVoters = 7;
     std::uint64_t snapshotEveryEntries = 4000; ///< Limits what a joining host has to fetch, so that it catches up within seconds.
     std::uint64_t maxSnapshotDelayMs = 2000; ///< How long a snapshot is delayed for members that are slightly behind.
@@ -135,6 +135,7 @@
     std::uint64_t reportedTerm = 0; ///< Highest term for which a leader was reported.
     std::uint64_t nextTopologyMs = 0;
     std::uint64_t nextRepairMs = 0;
+    std::uint64_t lastRepairCommit = 0; ///< Committed index at the previous check of the membership; 0 before the first one as leader.
     std::map<Token, RoutedRequest> routed;
     std::map<std::uint64_t, Token> calls; ///< Routed requests, by call id.
     std::set<std::uint64_t> topologyCalls;
--- a/Source/deployment/hostmembership.cpp
+++ b/Source/deployment/hostmembership.cpp
@@ -49,15 +49,20 @@
     return std::nullopt;
 }
 
-/** @return the learners that have replicated the committed log. */
-std::vector<const wire::MemberT *> caughtUpLearners(const Host &host)
+/**
+ * @return the learners that respond and have the log up to the previous check: under load the newest entry is committed before a learner that is farther away
+ * than the voters acknowledges it.
+ */
+std::vector<const wire::MemberT *> readyLearners(const Host &host, const Now &now)
 {
     std::vector<const wire::MemberT *> ready;
     for (const auto &member : host.node->membership.members) {
         const auto progress = host.node->progress.find(member->host);
-        const bool caughtUp = progress != host.node->progress.end() && progress->second.incarnation == member->incarnation
-            && progress->second.matchIndex >= host.node->commit && host.node->commit > 0;
-        if (member->role == wire::MemberRole::Learner && caughtUp) {
+        if (member->role != wire::MemberRole::Learner || progress == host.node->progress.end() || progress->second.incarnation != member->incarnation) {
+            continue;
+        }
+        const bool responds = now.monotonicMs < progress->second.lastReplyMs + host.options.timing.electionMs;
+        if (responds && host.lastRepairCommit > 0 && progress->second.matchIndex >= host.lastRepairCommit) {
             ready.push_back(member.get());
         }
     }
@@ -65,9 +70,9 @@
 }
 
 /** Keeps the number of voters odd: an even number tolerates no more failures than one voter less, and a partition into halves leaves no majority. */
-std::optional<wire::MembershipT> promoteLearner(const Host &host)
+std::optional<wire::MembershipT> promoteLearner(const Host &host, const Now &now)
 {
-    const std::vector<const wire::MemberT *> ready = caughtUpLearners(host);
+    const std::vector<const wire::MemberT *> ready = readyLearners(host, now);
     const std::size_t voters = voterCount(host.node->membership);
     const std::size_t available = std::min(host.options.maxVoters, voters + ready.size());
     const std::size_t wanted = available % 2 == 1 ? available : available - 1;
@@ -79,17 +84,28 @@
     return consensus::withMember(host.node->membership, voter);
 }
 
+/** @return when a member was last heard from. A new leader knows this of the previous leader; for all others it counts from the time it leads. */
+std::uint64_t lastContactMs(const Host &host, const std::string &member)
+{
+    const consensus::Node &node = *host.node;
+    const auto progress = node.progress.find(member);
+    const std::uint64_t lastReplyMs = progress == node.progress.end() ? 0 : progress->second.lastReplyMs;
+    return std::max(lastReplyMs, member == node.lastLeader ? node.lastLeaderContactMs : host.leader.leadingSinceMs);
+}
+
+/**
+ * A silent voter may be removed down to minVoters, counting the ready learners, which are promoted next. It is removed before its replacement is promoted:
+ * with both as voters a majority would need every living one, so that the loss of the replacement would leave none.
+ */
 std::optional<wire::MembershipT> removeSilentMember(const Host &host, const Now &now)
 {
+    const bool spareVoter = voterCount(host.node->membership) + readyLearners(host, now).size() > host.options.minVoters;
     for (const auto &member : host.node->membership.members) {
         if (member->host == host.options.host) {
             continue;
         }
-        const auto progress = host.node->progress.find(member->host);
-        const std::uint64_t lastContactMs = progress == host.node->progress.end() ? 0 : progress->second.lastReplyMs;
-        const bool silent = now.monotonicMs > std::max(lastContactMs, host.leader.leadingSinceMs) + host.options.removeAfterMs;
-        const bool removable = member->role != wire::MemberRole::Voter || voterCount(host.node->membership) > host.options.minVoters;
-        if (silent && removable) {
+        const bool silent = now.monotonicMs > lastContactMs(host, member->host) + host.options.removeAfterMs;
+        if (silent && (member->role != wire::MemberRole::Voter || spareVoter)) {
             return withoutMember(host.node->membership, member->host);
         }
     }
@@ -101,17 +117,22 @@
 {
 void repairMembership(Host &host, const Now &now, HostOutput &output)
 {
-    if (now.monotonicMs < host.nextRepairMs || !isActiveLeader(host, now) || host.node->membershipIndex > host.node->commit) {
+    if (!isActiveLeader(host, now)) {
+        host.lastRepairCommit = 0;
+        return;
+    }
+    if (now.monotonicMs < host.nextRepairMs || host.node->membershipIndex > host.node->commit) {
         return;
     }
     host.nextRepairMs = now.monotonicMs + repairIntervalMs;
-    auto wanted = promoteLearner(host);
+    auto wanted = promoteLearner(host, now);
     if (!wanted) {
         wanted = addLearner(host);
     }
     if (!wanted) {
         wanted = removeSilentMember(host, now);
     }
+    host.lastRepairCommit = host.node->commit;
     if (!wanted) {
         return;
     }
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -265,7 +265,8 @@
     if (!isConnected(from, to)) {
         return;
     }
-    schedule(options.networkDelayMs, [this, from, to, generation = host(to).generation, action = std::move(action)] {
+    const std::uint64_t delayMs = options.networkDelayMs + host(from).extraDelayMs + host(to).extraDelayMs;
+    schedule(delayMs, [this, from, to, generation = host(to).generation, action = std::move(action)] {
         if (isConnected(from, to)) {
             onHost(to, generation, action);
         }
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -87,6 +87,7 @@
     std::vector<wire::JournalRecordT> disk;
     std::optional<deployment::Host> host;
     std::set<std::string> partitionedFrom; ///< Hosts and upstreams that can't be reached.
+    std::uint64_t extraDelayMs = 0; ///< Added to the one-way delay of its links to other hosts.
     std::uint64_t suspendedUntilMs = 0;
     std::vector<std::function<void()>> deferredActions; ///< Events that arrived while it was suspended.
 };
