deployment: Raise the fence with each process found under an id

What callers saw: a task that was done is started again (TWICE).

The leader, which doesn't know, acknowledges ends of the earlier process up to a number. The new process receives that poll, leaves it unanswered and carries it out at 124848, as upstreams may for seconds. Registered at 122488, it has run tasks since; their ends 4 and 5 have numbers below that one and are forgotten before any list showed them. The tasks are started again.

Cause: all calls of a leader carry the same fence, so that a process can't tell a call that was meant for its predecessor. docs/DESIGN.md 5 (c) bounded the age of an acknowledgement on its way, not how late it is carried out. A late renewal prolongs the lease of the new process in the same way.

Change: the fence is the term and a step that rises with each process found under the id. The step is stored with the registration, so that the next leader's fence is higher still. A leader that holds its lease and is refused for a lower fence raises the step by itself.

Ruled out: no work for a restarted upstream until such a poll can't be carried out any more (13 s without an upstream for many restarts, and renewals aren't covered); the step in the lower bits of a shifted term (a leader of an earlier build would be refused by every upstream; as it is, only by those that restarted under their id).

Tests: Deployment.AnAcknowledgementCarriedOutLateIsNotAppliedByALaterProcess, failing before with `TWICE done after.0.0.0 run 2 on u0 at 109961`.

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -291,7 +291,7 @@
 {
     LeaderOptions options;
     bool active = false;
-    std::uint64_t term = 0; ///< Also the fence of its calls.
+    std::uint64_t term = 0; ///< The fence of its calls is at least this.
     std::uint64_t leadingSinceMs = 0;
     std::map<std::uint32_t, upstream::UpstreamState> upstreams;
     std::unordered_map<std::string, std::uint32_t> upstreamNumbers; ///< By id.
@@ -361,6 +361,7 @@
 void refuse(Token token, model::Reason reason, LeaderOutput &output);
 
 // leaderupstreams.cpp
+std::uint64_t fenceFor(const Leader &leader, const upstream::UpstreamState &upstreamState);
 void addUpstream(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now);
 void handleHeartbeat(Leader &leader, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output);
 void handleLeave(Leader &leader, Token token, const std::string &id, const Now &now, LeaderOutput &output);
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -24,7 +24,7 @@
     call.upstream = upstreamState.registration.id;
     call.task = run.task;
     call.run = run.number;
-    call.fence = leader.term;
+    call.fence = fenceFor(leader, upstreamState);
     call.timeoutMs = leader.options.orderTimeoutMs;
     const auto job = state.jobs.find(run.task.job);
     if (job != state.jobs.end()) {
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -25,11 +25,13 @@
 void applyRegistration(UpstreamState &upstreamState, const wire::UpstreamSeenT &seen, const Now &now)
 {
     const std::uint32_t number = upstreamState.registration.number;
+    const std::uint32_t fenceStep = upstreamState.registration.fenceStep;
     if (seen.draining && upstreamState.drainingSinceMs == 0) {
         upstreamState.drainingSinceMs = now.monotonicMs;
     }
     upstreamState.registration = seen;
     upstreamState.registration.number = number;
+    upstreamState.registration.fenceStep = fenceStep;
     upstreamState.capacity = {seen.cpuMillis, seen.memoryMb, seen.accelerators, 0};
 }
 
@@ -46,6 +48,7 @@
     upstreamState.drainingSinceMs = 0;
     upstreamState.sequence = 0;
     applyRegistration(upstreamState, seen, now);
+    ++upstreamState.registration.fenceStep; // The new process refuses calls to the earlier one that are carried out late.
     upstream::includeEarlierCalls(upstreamState);
     upstreamState.clock = {};
     upstreamState.shapeKnown = false;
@@ -142,7 +145,7 @@
     call.kind = CallKind::Poll;
     call.address = upstreamState.registration.address;
     call.upstream = upstreamState.registration.id;
-    call.fence = leader.term;
+    call.fence = fenceFor(leader, upstreamState);
     const bool acknowledgementDue = upstreamState.recordedEnd > upstreamState.acknowledgedEnd;
     call.acknowledge = acknowledgementDue && upstream::mayAcknowledge(upstreamState, now.monotonicMs) ? upstreamState.recordedEnd : 0;
     const bool settled
@@ -189,10 +192,21 @@
 }
 }
 
+/**
+ * @param leader the leader state. @param upstreamState the upstream state.
+ * @return the fence of calls to the upstream. It rises with the term and with each process found under the id: an upstream may carry out a call seconds late,
+ * and the process that does must be the one that the call was meant for.
+ */
+std::uint64_t fenceFor(const Leader &leader, const UpstreamState &upstreamState)
+{
+    return leader.term + upstreamState.registration.fenceStep;
+}
+
 void addUpstream(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now)
 {
     UpstreamState upstreamState;
     upstreamState.registration.number = seen.number;
+    upstreamState.registration.fenceStep = seen.fenceStep;
     applyRegistration(upstreamState, seen, now);
     upstreamState.registered = true;
     upstreamState.shapeKnown = true;
@@ -301,7 +315,7 @@
         call.job = listed.job;
         call.task = task;
         call.run = listed.run;
-        call.fence = leader.term;
+        call.fence = fenceFor(leader, upstreamState);
         call.timeoutMs = leader.options.orderTimeoutMs;
         output.decisions.push_back({"stop-unknown-run", upstreamState.registration.id, "job=" + listed.job + " run=" + std::to_string(listed.run)});
         output.calls.push_back(std::move(call));
@@ -468,6 +482,10 @@
                                         "status=" + std::to_string(static_cast<int>(reply.status)) + " runs=" + std::to_string(upstreamState.runs.size())});
         }
         upstreamState.silent = upstreamState.silent || reply.status == CallStatus::NoAnswer;
+        if (reply.status == CallStatus::Fenced) {
+            // Only the leader with the lease gets here, so the higher fence is its own, of a registration that has been removed since.
+            ++upstreamState.registration.fenceStep;
+        }
         upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
         ++leader.counters.pollsUnanswered;
         return;
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -446,6 +446,44 @@
     CHECK(completes(fleet, "/0/j1", 15000));
 }
 
+/** An upstream restarted just before an acknowledgement of the earlier process's ends arrived, and carried it out seconds later: it forgot an end that no list
+ * had shown, and the task was run again. */
+TEST_CASE(Deployment, AnAcknowledgementCarriedOutLateIsNotAppliedByALaterProcess)
+{
+    FleetOptions options;
+    options.upstreams = 1;
+    Fleet fleet(options);
+    waitUntilReady(fleet);
+    CHECK(fleet.putPlan(1, 2, false));
+    fleet.submit("/0/before", {makeStep(4, 1000, 300)});
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.doneEndsListed == 4;
+        },
+        3000));
+    fakes::FakeUpstream &upstream = fleet.upstreams[0];
+    fleet.restart(upstream);
+    fleet.orderFaults.delayedShare = 1;
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.acknowledgementsSent == 1;
+        },
+        300));
+    fleet.orderFaults.delayedShare = 0;
+    fleet.submit("/0/after", {makeStep(1, 1000, 300)});
+    CHECK(fleet.runUntil(
+        [&] {
+            return !upstream.runs.empty();
+        },
+        5000));
+    partitionFromControl(fleet, "u0", true);
+    fleet.run(4000); // Less than the lease. The acknowledgement arrives after the end of the run.
+    CHECK_EQUAL(std::uint64_t{2}, upstream.nextEnd);
+    partitionFromControl(fleet, "u0", false);
+    CHECK(completes(fleet, "/0/after", 20000));
+    CHECK_TEXT("", violationsText(fleet));
+}
+
 /** After the loss of a leader, a backlog of wide steps that didn't fit came first in the waiting order, and the small steps behind them were never tried. */
 TEST_CASE(Deployment, SmallStepsArePlacedBehindABacklogThatDoesNotFit)
 {
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -501,7 +501,7 @@
         return;
     }
     const double unansweredFrom = orderFaults.delayedShare + orderFaults.lostShare;
-    const bool unanswered = !late && !lost && sample < unansweredFrom + orderFaults.unansweredShare;
+    const bool unanswered = !exempt && !late && !lost && sample < unansweredFrom + orderFaults.unansweredShare;
     const bool slow = !late && !lost && !unanswered && sample < unansweredFrom + orderFaults.unansweredShare + orderFaults.slowShare;
     const std::uint64_t transitMs = slow ? m_random() % orderFaults.maxTransitMs : 0;
     const std::uint64_t orderMs = slow && m_random() % 2 == 0 ? transitMs : 0;
