deployment: Number the requests for advice of two leaders apart

What callers saw: a job that is never started although the fleet is idle (LOST).

Cause: a control host sends requests to the advice service for the leader, and had requests of its own if it led before or leads now. The former were numbered by the host, the latter by its leader state, from 1 each. The reply to one was taken for that to the other; upstreams that it didn't name count as denied, and what is denied stays so.

Test, failing before: Deployment.RequestsForAdviceOfTwoLeadersHaveDifferentIds.

--- a/Source/deployment/hostrouting.cpp
+++ b/Source/deployment/hostrouting.cpp
@@ -123,7 +123,7 @@
         return;
     }
     if (request.operation == wire::Operation::Advise && request.advice) {
-        const std::uint64_t adviceId = host.nextCall++;
+        const std::uint64_t adviceId = host.leader.nextCall++; // Unique among the requests of the own leader, too.
         host.adviceOrigins[adviceId] = {from, id};
         output.advice.push_back({adviceId, std::move(request.advice->step), std::move(request.advice->upstreams), request.waitMs});
         return;
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -484,6 +484,25 @@
     CHECK_TEXT("", violationsText(fleet));
 }
 
+/** A host that sent a request to the advice service for another leader had one of its own with the same id. The reply to the one was taken for that to the
+ * other, and the upstreams that it didn't name counted as denied for good: the step was never started. */
+TEST_CASE(Deployment, RequestsForAdviceOfTwoLeadersHaveDifferentIds)
+{
+    Fleet fleet({});
+    waitUntilReady(fleet);
+    CHECK(fleet.putPlan(1, 2, true));
+    deployment::Host &host = *fleet.leader()->host;
+    host.nextCall = host.leader.nextCall;
+    wire::RequestT request;
+    request.operation = wire::Operation::Advise;
+    request.advice = std::make_unique<wire::AdviceAskT>();
+    request.advice->step = "j1.0.0";
+    deployment::HostOutput output;
+    deployment::handleCall(host, "c9", 1, std::move(request), {fleet.nowMs, fleet.nowMs}, output);
+    CHECK_EQUAL(std::size_t{1}, output.advice.size());
+    CHECK(output.advice.front().id < host.leader.nextCall); // The next request of the own leader has another id.
+}
+
 /** After the loss of a leader, a backlog of wide steps that didn't fit came first in the waiting order, and the small steps behind them were never tried. */
 TEST_CASE(Deployment, SmallStepsArePlacedBehindABacklogThatDoesNotFit)
 {
--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -585,6 +585,9 @@
     for (const std::uint64_t seed : {29, 4281}) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " with couriers", std::string(), runSchedule(seed, true));
     }
+    for (const std::uint64_t seed : {1266, 1373, 1884, 4428}) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " of combined faults", std::string(), runMixedSchedule(seed));
+    }
 }
 
 TEST_CASE(Deployment, RandomSchedulesKeepThePromises)
