deployment: Fill a capacity only while a heartbeat states it

New rule of the users: the capacity of an upstream may shrink and grow while it runs, and a start that exceeds it later than the contact time and one heartbeat after a reduction (5.5 s) breaks LIMIT.

Cause: a capacity was believed as long as the upstream answered anything, polls too, which don't state it; a new leader believed the recorded one, however old; and only the decision to place looked at it. A start that waited for its record, or was sent again after a loss or by a courier's return, didn't.

Change: a capacity may be filled for 3.5 s after the heartbeat that stated it was made (by the upstream's clock where that is known, as heartbeats are held up); a new leader waits for one; each sending of a start asks whether the runs still fit. A run that doesn't is dropped or voided. The capacity that a gang waits for no longer exceeds the whole, when runs exceed a reduced one.

A held-up heartbeat was found in review (four starts over the capacity); UpstreamState.TheCapacityIsAsOldAsItsHeartbeat.

Ruled out: letting a new leader fill the recorded capacity for a while: the time without a leader isn't bounded. Heartbeats that come meanwhile are held by the hosts and arrive with the election.

--- a/Source/deployment/hostdelivery.cpp
+++ b/Source/deployment/hostdelivery.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 /** Prepares a returned order for being sent again. @return false if the upstream has restarted since the order was sent, or its run isn't wanted any more. */
-bool prepareResend(Leader &leader, const job::State &state, UpstreamCall &call)
+bool prepareResend(Leader &leader, const job::State &state, UpstreamCall &call, const Now &now)
 {
     const auto open = leader.pendingCalls.find(call.id);
     const auto upstreamState = open == leader.pendingCalls.end() ? leader.upstreams.end() : leader.upstreams.find(open->second.upstream);
@@ -18,7 +18,8 @@
     }
     if (call.kind == CallKind::Start) {
         const auto run = upstreamState->second.runs.find(call.task);
-        return run != upstreamState->second.runs.end() && run->second.number == call.run && internal::isWanted(state, run->second);
+        return run != upstreamState->second.runs.end() && run->second.number == call.run && internal::isWanted(state, run->second)
+            && internal::mayStillStart(leader, upstreamState->second, now);
     }
     if (call.kind == CallKind::Poll) {
         // An upstream process that isn't known yet may answer: the acknowledgement and the lease renewal were meant for the previous one.
@@ -132,7 +133,7 @@
 void handleReturnedOrders(Host &host, ReturnedOrders returned, const Now &now, HostOutput &output)
 {
     for (UpstreamCall &call : returned.resend) {
-        if (prepareResend(host.leader, host.state, call)) {
+        if (prepareResend(host.leader, host.state, call, now)) {
             output.upstreamCalls.push_back(std::move(call));
         }
     }
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -146,7 +146,9 @@
     leader.leadingSinceMs = now.monotonicMs;
     for (const auto &[number, seen] : state.upstreams) {
         internal::addUpstream(leader, seen, now);
-        upstream::includeEarlierLeaders(leader.upstreams.at(number), leader.options.lease, now.monotonicMs);
+        upstream::UpstreamState &upstreamState = leader.upstreams.at(number);
+        upstream::includeEarlierLeaders(upstreamState, leader.options.lease, now.monotonicMs);
+        upstreamState.shapeKnown = false; // The capacity may have been reduced since it was recorded.
     }
     wire::RunsEndedT lost;
     for (const auto &[number, job] : state.jobs) {
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -45,6 +45,7 @@
     std::uint64_t keepJobsMs = 180000; ///< Time for which ended jobs can be queried.
     std::uint64_t resendMs = 150; ///< Delay before an unanswered order is sent again.
     std::uint64_t gangWaitMs = 3000; ///< Time for which an upstream lets the members of a gang wait for each other.
+    std::uint64_t maxShapeAgeMs = 3500; ///< Time after a heartbeat for which the capacity that it stated may be filled: two heartbeats.
 };
 
 /** Kind of a call to an upstream. */
@@ -370,6 +371,7 @@
 
 // leaderruns.cpp
 bool isWanted(const job::State &state, const upstream::Run &run);
+bool mayStillStart(const Leader &leader, const upstream::UpstreamState &upstreamState, const Now &now);
 void sendStart(Leader &leader, const job::State &state, upstream::UpstreamState &upstreamState, upstream::Run &run, const Now &now, LeaderOutput &output);
 void sendStop(Leader &leader, const job::State &state, upstream::UpstreamState &upstreamState, upstream::Run &run, const Now &now, LeaderOutput &output);
 void requestStop(Leader &leader, const job::State &state, upstream::UpstreamState &upstreamState, upstream::Run &run, const Now &now, LeaderOutput &output);
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -85,13 +85,13 @@
 /** @return the capacity that is free once all runs but the members of gangs have ended. */
 model::Resources capacityWithoutBatch(const UpstreamState &upstreamState)
 {
-    model::Resources capacity = upstream::freeCapacity(upstreamState);
+    model::Resources gangs;
     for (const auto &[task, run] : upstreamState.runs) {
-        if (!run.gang) {
-            capacity = capacity + run.need;
+        if (run.gang) {
+            gangs = gangs + run.need;
         }
     }
-    return capacity;
+    return upstreamState.capacity - gangs;
 }
 
 std::size_t reservedCount(const PlacementAttempt &attempt)
@@ -352,7 +352,8 @@
 {
     return upstreamState.registered && upstreamState.shapeKnown && upstreamState.listsRead && !upstreamState.silent && !upstreamState.gone
         && !upstreamState.registration.draining && upstreamState.clock.known && upstreamState.unansweredStarts < 2
-        && now.monotonicMs < upstreamState.lastContactMs + leader.options.maxSilenceMs && now.monotonicMs >= upstreamState.avoidedUntilMs;
+        && now.monotonicMs < upstreamState.lastContactMs + leader.options.maxSilenceMs && now.monotonicMs < upstreamState.shapeMs + leader.options.maxShapeAgeMs
+        && now.monotonicMs >= upstreamState.avoidedUntilMs;
 }
 
 void placeWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output)
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -59,13 +59,6 @@
     }
 }
 
-bool mayStillStart(const Leader &leader, const UpstreamState &upstreamState, const Now &now)
-{
-    const bool drainOver
-        = upstreamState.registration.draining && now.monotonicMs + leader.options.orderTimeoutMs > upstreamState.drainingSinceMs + leader.options.drainMs;
-    return !upstreamState.gone && upstreamState.listsRead && !drainOver;
-}
-
 void tickStarting(Leader &leader, const job::State &state, UpstreamState &upstreamState, Run &run, const Now &now, LeaderOutput &output)
 {
     if (run.stopRequested || !isWanted(state, run) || !mayStillStart(leader, upstreamState, now)) {
@@ -93,6 +86,17 @@
     return job != state.jobs.end() && !job::hasEnded(job->second.phase) && task != nullptr && !task->done && task->activeRun == run.number;
 }
 
+/** @return whether a start may be sent to an upstream: its process is the registered one, isn't about to leave, and has capacity for its runs. */
+bool mayStillStart(const Leader &leader, const UpstreamState &upstreamState, const Now &now)
+{
+    const bool drainOver
+        = upstreamState.registration.draining && now.monotonicMs + leader.options.orderTimeoutMs > upstreamState.drainingSinceMs + leader.options.drainMs;
+    // The start of a run that was placed before the capacity was reduced would exceed it.
+    const bool fits
+        = upstreamState.shapeKnown && now.monotonicMs < upstreamState.shapeMs + leader.options.maxShapeAgeMs && !upstream::isOverCapacity(upstreamState);
+    return !upstreamState.gone && upstreamState.listsRead && !drainOver && fits;
+}
+
 void sendStart(Leader &leader, const job::State &state, UpstreamState &upstreamState, Run &run, const Now &now, LeaderOutput &output)
 {
     const job::Job &job = state.jobs.at(run.task.job);
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -247,6 +247,7 @@
     }
     upstreamState.sequence = beat.sequence;
     upstreamState.shapeKnown = true;
+    upstream::recordShapeTime(upstreamState, beat.clockMs, now.monotonicMs);
     upstreamState.lastContactMs = now.monotonicMs;
     upstreamState.gone = false;
     if (!upstreamState.clock.known || now.monotonicMs > upstreamState.clock.atMs + staleClockMs) {
@@ -282,6 +283,7 @@
             addUpstream(leader, entry->second, now);
             UpstreamState &upstreamState = leader.upstreams.at(entry->first);
             upstreamState.sequence = joining->second.sequence;
+            upstreamState.shapeMs = now.monotonicMs;
             upstream::recordClock(upstreamState, joining->second.clockMs, now.monotonicMs);
             break;
         }
--- a/Source/upstream/upstreamstate.cpp
+++ b/Source/upstream/upstreamstate.cpp
@@ -66,11 +66,24 @@
     }
 }
 
+void recordShapeTime(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs)
+{
+    const ClockSample &clock = upstreamState.clock;
+    const std::uint64_t upstreamNowMs = clock.known ? clock.upstreamMs + (nowMs - clock.atMs) : upstreamMs;
+    const std::uint64_t ageMs = upstreamMs == 0 ? 0 : upstreamNowMs - std::min(upstreamNowMs, upstreamMs);
+    upstreamState.shapeMs = std::max(upstreamState.shapeMs, nowMs - std::min(nowMs, ageMs));
+}
+
 model::Resources freeCapacity(const UpstreamState &upstreamState)
 {
     return upstreamState.capacity - upstreamState.used;
 }
 
+bool isOverCapacity(const UpstreamState &upstreamState)
+{
+    return !model::fits(upstreamState.used, upstreamState.capacity);
+}
+
 Run &addRun(UpstreamState &upstreamState, Run run)
 {
     upstreamState.used = upstreamState.used + run.need;
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -83,6 +83,7 @@
     std::uint64_t pollSentMs = 0;
     std::uint64_t nextPollMs = 0;
     std::uint64_t renewedMs = 0; ///< Time of the latest lease renewal.
+    std::uint64_t shapeMs = 0; ///< Time of the latest heartbeat, which states the capacity; 0 before the first one.
     std::map<job::TaskRef, Run> runs;
     double failures = 0; ///< Number of failed runs, decayed exponentially.
     double successes = 0; ///< Number of successful runs, decayed exponentially.
@@ -140,9 +141,16 @@
  * arrival. */
 void recordClock(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs);
 
+/** Records the time of a heartbeat, which states the capacity. @param upstreamState the upstream state. @param upstreamMs the upstream's clock when it was
+ * made; 0 if unknown. @param nowMs time of its arrival, which may be late. */
+void recordShapeTime(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs);
+
 /** @param upstreamState the upstream state. @return the capacity that no run occupies. */
 model::Resources freeCapacity(const UpstreamState &upstreamState);
 
+/** @param upstreamState the upstream state. @return whether its runs need more than its capacity, as after a reduction of it. */
+bool isOverCapacity(const UpstreamState &upstreamState);
+
 /** Adds a run, which occupies capacity. @param upstreamState the upstream state. @param run the run. @return the stored run. */
 Run &addRun(UpstreamState &upstreamState, Run run);
 
--- a/Tests/upstream/upstreamstate.cpp
+++ b/Tests/upstream/upstreamstate.cpp
@@ -106,3 +106,29 @@
     CHECK_EQUAL(upstreamState.lapseBoundMs, upstream::lapseBoundOf(upstreamState, run));
     CHECK(upstreamState.lapseBoundMs < 200 + timing.longestLeaseMs);
 }
+
+/** A heartbeat that was held up on its way states an old capacity. */
+TEST_CASE(UpstreamState, TheCapacityIsAsOldAsItsHeartbeat)
+{
+    upstream::UpstreamState upstreamState;
+    upstream::recordShapeTime(upstreamState, 50000, 1000); // Its clock isn't known yet.
+    CHECK_EQUAL(std::uint64_t{1000}, upstreamState.shapeMs);
+    upstream::recordClock(upstreamState, 50100, 1100);
+    upstream::recordShapeTime(upstreamState, 51000, 4000);
+    CHECK_EQUAL(std::uint64_t{2000}, upstreamState.shapeMs);
+    upstream::recordShapeTime(upstreamState, 50900, 4100);
+    CHECK_EQUAL(std::uint64_t{2000}, upstreamState.shapeMs);
+}
+
+TEST_CASE(UpstreamState, RunsExceedAReducedCapacity)
+{
+    upstream::UpstreamState upstreamState;
+    upstreamState.capacity = {4000, 4000, 0, 0};
+    upstream::Run run;
+    run.need = {3000, 1000, 0, 0};
+    upstream::addRun(upstreamState, run);
+    CHECK(!upstream::isOverCapacity(upstreamState));
+    upstreamState.capacity = {2000, 4000, 0, 0};
+    CHECK(upstream::isOverCapacity(upstreamState));
+    CHECK(upstream::freeCapacity(upstreamState) == (model::Resources{0, 3000, 0, 0}));
+}
