deployment: Give up a task that crashes the upstreams that start it

Cause: only ends that an upstream lists as failed count as attempts. A crashed upstream lists nothing, so that the run was recorded as lost and the task started again without end; nothing kept it apart from other work.

Change: when a process under an id or address is replaced without having drained, a record names the runs that were in progress there, confirmed or possible; the state counts by task and fails the job at three confirmed or four of both.

--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -54,6 +54,9 @@
     appendMetric(text, "ends_alone_total", counters.endsAlone);
     appendMetric(text, "runs_lost_total", counters.runsLost);
     appendMetric(text, "runs_never_total", counters.runsNever);
+    appendMetric(text, "upstreams_crashed_total", counters.upstreamsCrashed);
+    appendMetric(text, "runs_crashed_total", counters.runsCrashed);
+    appendMetric(text, "jobs_given_up_total", counters.jobsGivenUp);
     appendHistogram(text, "step_wait_ms", counters.stepWaits);
     appendHistogram(text, "start_answer_ms", counters.startAnswers);
 }
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -29,6 +29,8 @@
                 run.phase = RunPhase::Inherited;
                 run.need = internal::resourcesPerTask(spec);
                 run.gang = spec.gang;
+                run.longRunning = spec.longRunning;
+                run.crashes = task.crashes;
                 run.checkpoint = task.checkpoint;
                 run.stopRequested = job::hasEnded(job.phase) && !task.done;
                 const auto upstreamState = leader.upstreams.find(task.upstream);
@@ -195,6 +197,8 @@
         internal::startPlacedRuns(leader, state, *placed, now, output);
     } else if (const auto *ended = record.change.AsRunsEnded()) {
         internal::applyRunsEnded(leader, state, *ended, now, output);
+    } else if (const auto *crashed = record.change.AsRunsCrashed()) {
+        internal::applyRunsCrashed(leader, state, *crashed, now, output);
     } else if (const auto *cancelled = record.change.AsJobCancelled()) {
         answerWaiting(leader.pendingCancels, cancelled->job, {}, output);
         const auto job = state.jobs.find(cancelled->job);
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -46,6 +46,8 @@
     std::uint64_t resendMs = 150; ///< Delay before an unanswered order is sent again.
     std::uint64_t gangWaitMs = 3000; ///< Time for which an upstream lets the members of a gang wait for each other.
     std::uint64_t maxShapeAgeMs = 3500; ///< Time after a heartbeat for which the capacity that it stated may be filled: two heartbeats.
+    std::uint32_t maxCrashes = 3; ///< Number of upstreams whose crash under a task fails its job.
+    std::uint32_t maxPossibleCrashes = 4; ///< The same, with those counted whose start had no answer.
 };
 
 /** Kind of a call to an upstream. */
@@ -211,6 +213,7 @@
     std::uint32_t failedAttempts = 0; ///< Consecutive failed attempts.
     std::vector<std::uint32_t> reserved; ///< Numbers of the upstreams reserved for it.
     std::vector<std::uint32_t> unplaced; ///< Indexes of the tasks without a run.
+    std::uint32_t crashes = 0; ///< Largest number of crashes of one of them.
 };
 
 /** A host that can send requests to the advice service. */
@@ -279,6 +282,9 @@
     std::uint64_t endsAlone = 0;
     std::uint64_t runsLost = 0;
     std::uint64_t runsNever = 0;
+    std::uint64_t upstreamsCrashed = 0; ///< Upstreams that ended unexpectedly under runs.
+    std::uint64_t runsCrashed = 0; ///< Runs that were in progress on them.
+    std::uint64_t jobsGivenUp = 0; ///< Jobs that failed since too many upstreams crashed under one of their tasks.
     std::uint64_t badHeartbeats = 0;
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
@@ -369,6 +375,10 @@
 void applyUpstreamRecord(Leader &leader, const job::State &state, const wire::UpstreamSeenT &record, const Now &now);
 void tickUpstreams(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 
+// leadercrashes.cpp
+void reportCrash(Leader &leader, upstream::UpstreamState &upstreamState, const Now &now, LeaderOutput &output);
+void applyRunsCrashed(Leader &leader, const job::State &state, const wire::RunsCrashedT &record, const Now &now, LeaderOutput &output);
+
 // leaderruns.cpp
 bool isWanted(const job::State &state, const upstream::Run &run);
 bool mayStillStart(const Leader &leader, const upstream::UpstreamState &upstreamState, const Now &now);
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -25,6 +25,8 @@
 constexpr std::uint64_t retryMs = 40;
 /** Maximum delay. The delay doubles with each failed attempt, so that steps that don't fit leave the pass to those ranked below. */
 constexpr std::uint64_t maxRetryMs = 160;
+/** Stands for several jobs in PlacementCandidate::suspectJob. */
+constexpr std::uint64_t severalJobs = UINT64_MAX;
 /** At most one upstream in this many is reserved for gangs. */
 constexpr std::size_t reservableDivisor = 3;
 
@@ -55,7 +57,122 @@
     return candidates;
 }
 
-void recordPlacement(Leader &leader, const job::State &state, const PlacementAttempt &attempt, const std::vector<std::uint32_t> &chosen,
+/** Finds the suspects on an upstream that aren't known yet to run well. */
+void findSuspects(PlacementCandidate &candidate, const Now &now)
+{
+    if (!candidate.state->hasSuspects) {
+        return;
+    }
+    candidate.state->hasSuspects = false;
+    for (const auto &[task, run] : candidate.state->runs) {
+        if (upstream::isUnprovenSuspect(run, now.monotonicMs)) {
+            candidate.state->hasSuspects = true;
+            candidate.suspectJob = candidate.suspectJob == 0 || candidate.suspectJob == task.job ? task.job : severalJobs;
+            candidate.exclusive = candidate.exclusive || policy::isolationFor(run.crashes) == policy::Isolation::Exclusive;
+        }
+    }
+}
+
+PlacementCandidate *findCandidate(std::span<PlacementCandidate> candidates, std::uint32_t number)
+{
+    const auto candidate = std::lower_bound(candidates.begin(), candidates.end(), number, [](const PlacementCandidate &other, std::uint32_t wanted) {
+        return other.state->registration.number < wanted;
+    });
+    return candidate != candidates.end() && candidate->state->registration.number == number ? &*candidate : nullptr;
+}
+
+/** @return whether a task reaches the maximum of crashes if the upstreams that it was lost with turn out to have crashed. */
+bool mayBeGivenUp(const Leader &leader, const job::TaskRef &ref, const job::Task &task)
+{
+    if (task.crashes == 0) {
+        return false;
+    }
+    std::size_t crashes = task.crashes;
+    for (const auto &[number, upstreamState] : leader.upstreams) {
+        const auto &lapsedRuns = upstreamState.lapsedRuns;
+        crashes += static_cast<std::size_t>(std::count_if(lapsedRuns.begin(), lapsedRuns.end(), [&](const upstream::CrashedRun &run) {
+            return run.task == ref && run.number > task.crashedRun;
+        }));
+    }
+    return crashes >= leader.options.maxPossibleCrashes;
+}
+
+/** Runs of a step's tasks that were placed exclusively. */
+struct Trials
+{
+    std::size_t running = 0; ///< Not known yet to run well.
+    std::size_t proven = 0;
+};
+
+Trials countTrials(const Leader &leader, const StepRef &ref, const Now &now)
+{
+    Trials trials;
+    const job::TaskRef first{ref.job, ref.occurrence, ref.step, 0};
+    const job::TaskRef last{ref.job, ref.occurrence, ref.step, UINT32_MAX};
+    for (auto placement = leader.placements.lower_bound(first); placement != leader.placements.upper_bound(last); ++placement) {
+        const auto &runs = leader.upstreams.at(placement->second).runs;
+        const auto run = runs.find(placement->first);
+        if (run != runs.end() && policy::isolationFor(run->second.crashes) == policy::Isolation::Exclusive) {
+            ++(upstream::isUnprovenSuspect(run->second, now.monotonicMs) ? trials.running : trials.proven);
+        }
+    }
+    return trials;
+}
+
+/** The unplaced tasks of a step by what is known of crashes under them. */
+struct SuspectGroups
+{
+    std::vector<std::uint32_t> trials; ///< Run alone.
+    std::vector<std::uint32_t> others;
+    std::vector<std::uint32_t> held; ///< Wait until it is known whether another upstream has crashed.
+    std::uint32_t otherCrashes = 0; ///< Largest number of crashes of the others.
+};
+
+SuspectGroups groupBySuspicion(const Leader &leader, const job::State &state, const WaitingStep &waiting)
+{
+    SuspectGroups groups;
+    for (const std::uint32_t index : waiting.unplaced) {
+        const job::TaskRef ref{waiting.ref.job, waiting.ref.occurrence, waiting.ref.step, index};
+        const job::Task *task = job::findTask(state, ref);
+        const std::uint32_t crashes = task == nullptr ? 0 : task->crashes;
+        if (task != nullptr && mayBeGivenUp(leader, ref, *task)) {
+            groups.held.push_back(index);
+        } else if (policy::isolationFor(crashes) == policy::Isolation::Exclusive) {
+            groups.trials.push_back(index);
+        } else {
+            groups.others.push_back(index);
+            groups.otherCrashes = std::max(groups.otherCrashes, crashes);
+        }
+    }
+    return groups;
+}
+
+/**
+ * Limits an attempt to place a step under whose tasks upstreams have crashed. A gang is placed whole; of other steps, a part of the suspects or the rest.
+ * @param leader the leader state. @param state the replicated state. @param attempt receives the isolation and the number of tasks, which come first among the
+ * unplaced ones. @param now the current time.
+ */
+void limitAttempt(const Leader &leader, const job::State &state, PlacementAttempt &attempt, const Now &now)
+{
+    WaitingStep &waiting = attempt.waiting;
+    SuspectGroups groups = groupBySuspicion(leader, state, waiting);
+    if (attempt.step.gang) {
+        attempt.isolation = policy::isolationFor(waiting.crashes);
+        attempt.maxTasks = groups.held.empty() ? attempt.maxTasks : 0;
+        return;
+    }
+    const Trials counted = countTrials(leader, waiting.ref, now);
+    const std::size_t trials = policy::trialsAllowed(groups.trials.size(), counted.running, counted.proven);
+    attempt.isolation = trials > 0 ? policy::Isolation::Exclusive : policy::isolationFor(groups.otherCrashes);
+    attempt.maxTasks = trials > 0 ? trials : groups.others.size();
+    std::vector<std::uint32_t> &first = trials > 0 ? groups.trials : groups.others;
+    const std::vector<std::uint32_t> &second = trials > 0 ? groups.others : groups.trials;
+    first.insert(first.end(), second.begin(), second.end());
+    first.insert(first.end(), groups.held.begin(), groups.held.end());
+    waiting.unplaced = std::move(first);
+}
+
+void recordPlacement(Leader &leader, const job::State &state, const PlacementAttempt &attempt, const std::vector<std::uint32_t> &chosen, const Now &now,
                      wire::RunsPlacedT &record)
 {
     const StepRef &ref = attempt.waiting.ref;
@@ -73,11 +190,18 @@
         run.number = (attempt.step.gang ? lastGangRun : (before == nullptr ? 0 : before->run)) + 1;
         run.need = resourcesPerTask(attempt.step);
         run.gang = attempt.step.gang;
+        run.longRunning = attempt.step.longRunning;
+        run.crashes = before == nullptr ? 0 : before->crashes;
         const auto ticket = attempt.advice.allowed.find(chosen[i]);
         run.ticket = ticket == attempt.advice.allowed.end() ? "" : ticket->second.text;
         record.runs.emplace_back(task.job, chosen[i], task.occurrence, task.step, task.index, run.number);
         leader.placements[task] = chosen[i];
+        const bool suspect = run.crashes > 0;
         upstream::addRun(leader.upstreams.at(chosen[i]), std::move(run));
+        PlacementCandidate *candidate = suspect ? findCandidate(attempt.candidates, chosen[i]) : nullptr;
+        if (candidate != nullptr) {
+            findSuspects(*candidate, now);
+        }
     }
     unplaced.erase(unplaced.begin(), unplaced.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
 }
@@ -105,10 +229,7 @@
 void markReserved(const WaitingStep &waiting, std::span<PlacementCandidate> candidates)
 {
     for (const std::uint32_t number : waiting.reserved) {
-        const auto candidate = std::lower_bound(candidates.begin(), candidates.end(), number, [](const PlacementCandidate &other, std::uint32_t wanted) {
-            return other.state->registration.number < wanted;
-        });
-        if (candidate != candidates.end() && candidate->state->registration.number == number) {
+        if (PlacementCandidate *candidate = findCandidate(candidates, number)) {
             candidate->reserved = true;
         }
     }
@@ -190,7 +311,7 @@
                                     "tasks=" + std::to_string(chosen.size()) + " candidates=" + std::to_string(candidates.size())
                                         + " waitedMs=" + std::to_string(now.monotonicMs - attempt.waiting.waitingSinceMs)});
         recordLatency(leader.counters.stepWaits, now.monotonicMs - attempt.waiting.waitingSinceMs);
-        recordPlacement(leader, state, attempt, chosen, record);
+        recordPlacement(leader, state, attempt, chosen, now, record);
         attempt.waiting.failedAttempts = 0;
     }
     if (attempt.waiting.unplaced.empty()) {
@@ -266,7 +387,16 @@
         markReserved(waiting, serviceCandidates.candidates);
         return false;
     }
-    PlacementAttempt attempt{waiting, *job.spec.steps[waiting.ref.step], *queue, advice, serviceCandidates.candidates};
+    const wire::StepSpecT &step = *job.spec.steps[waiting.ref.step];
+    PlacementAttempt attempt{waiting, step, *queue, advice, serviceCandidates.candidates};
+    if (waiting.crashes > 0) {
+        limitAttempt(leader, state, attempt, now);
+    }
+    if (attempt.maxTasks == 0) {
+        leader.placementNeeded = true;
+        waiting.nextAttemptMs = now.monotonicMs + retryMs;
+        return false;
+    }
     const bool tooLate = policy::timelinessOf(waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
     if (tooLate && !hasSpareCapacity(serviceCandidates)) {
         leader.placementNeeded = true;
@@ -298,6 +428,7 @@
             list = &candidatesByService[*service].candidates;
         }
         list->push_back({&upstreamState});
+        findSuspects(list->back(), now);
     }
     return candidatesByService;
 }
@@ -312,7 +443,7 @@
 {
     policy::StepDemand need;
     need.task = resourcesPerTask(attempt.step);
-    need.count = static_cast<std::uint32_t>(attempt.waiting.unplaced.size());
+    need.count = static_cast<std::uint32_t>(std::min(attempt.waiting.unplaced.size(), attempt.maxTasks));
     need.maxPerUpstream = attempt.step.mostPerUpstream;
     need.sameRack = attempt.step.rackLocal;
     return need;
@@ -327,6 +458,11 @@
     input.runningTasks = attempt.step.mostPerUpstream > 0 ? runCountOn(upstreamState, attempt.waiting.ref) : 0;
     input.rack = upstream::rackOf(upstreamState);
     input.penalty = candidate.reserved ? 1 : 0;
+    if (attempt.isolation == policy::Isolation::Separate && candidate.suspectJob != 0 && candidate.suspectJob != attempt.waiting.ref.job) {
+        input.penalty += 1;
+    } else if (attempt.isolation == policy::Isolation::Exclusive) {
+        input.penalty += static_cast<double>(upstreamState.runs.size()); // A crash then costs the least other work.
+    }
     input.dataLocal = attempt.step.dataRack.empty() || input.rack == attempt.step.dataRack;
     return input;
 }
@@ -335,7 +471,8 @@
 {
     // Steps of the most urgent priority may use reserved upstreams: they end soon.
     const bool reservedForGang = candidate.reserved && attempt.queue.priority > 0;
-    return !reservedForGang && upstream::hasLabel(*candidate.state, attempt.step.label);
+    const bool keptApart = candidate.exclusive || (attempt.isolation == policy::Isolation::Exclusive && candidate.suspectJob != 0);
+    return !reservedForGang && !keptApart && upstream::hasLabel(*candidate.state, attempt.step.label);
 }
 
 bool isEnoughCapacity(const PlacementAttempt &attempt, std::size_t capacity)
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -45,6 +45,7 @@
 {
     output.decisions.push_back(
         {"upstream-reborn", seen.id, "born=" + std::to_string(seen.born) + " before=" + std::to_string(upstreamState.registration.born)});
+    reportCrash(leader, upstreamState, now, output);
     upstreamState.drainingSinceMs = 0;
     upstreamState.sequence = 0;
     applyRegistration(upstreamState, seen, now);
@@ -108,6 +109,7 @@
         {"upstream-gone", upstreamState.registration.id, std::string("cause=") + cause + " runs=" + std::to_string(upstreamState.runs.size())});
     upstreamState.gone = true;
     upstreamState.listsRead = false;
+    reportCrash(leader, upstreamState, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
     markRunsLost(leader, upstreamState, alwaysOverMs, now, output);
 }
 
@@ -170,7 +172,14 @@
 /** Handles the expiry of the leases of an unreachable upstream. @param graceMs time after their expiry for which runs are retained. */
 void expireLeases(Leader &leader, UpstreamState &upstreamState, std::uint64_t graceMs, const Now &now, LeaderOutput &output)
 {
-    const std::size_t lost = markRunsLost(leader, upstreamState, now.monotonicMs - std::min(now.monotonicMs, graceMs), now, output);
+    const std::uint64_t overMs = now.monotonicMs - std::min(now.monotonicMs, graceMs);
+    for (const auto &[task, run] : upstreamState.runs) {
+        const upstream::CrashEvidence evidence = upstream::crashEvidence(upstreamState, run);
+        if (overMs > upstream::lapseBoundOf(upstreamState, run) && evidence != upstream::CrashEvidence::None) {
+            upstreamState.lapsedRuns.push_back({task, run.number, evidence == upstream::CrashEvidence::Confirmed});
+        }
+    }
+    const std::size_t lost = markRunsLost(leader, upstreamState, overMs, now, output);
     if (lost > 0) {
         output.decisions.push_back(
             {"leases-over",
@@ -249,6 +258,7 @@
     upstreamState.shapeKnown = true;
     upstream::recordShapeTime(upstreamState, beat.clockMs, now.monotonicMs);
     upstreamState.lastContactMs = now.monotonicMs;
+    upstreamState.lapsedRuns.clear(); // The process didn't crash.
     upstreamState.gone = false;
     if (!upstreamState.clock.known || now.monotonicMs > upstreamState.clock.atMs + staleClockMs) {
         upstream::recordClock(upstreamState, beat.clockMs, now.monotonicMs);
@@ -465,6 +475,7 @@
         // A process started since under the id. Its capacity is known with its first heartbeat.
         wire::UpstreamSeenT seen = upstreamState.registration;
         seen.born = reply.incarnation;
+        seen.draining = false;
         applyNewIncarnation(leader, upstreamState, seen, now, output);
         return;
     }
@@ -500,6 +511,7 @@
     upstreamState.unansweredStarts = 0;
     upstreamState.lastContactMs = now.monotonicMs;
     upstreamState.confirmedMs = now.monotonicMs;
+    upstreamState.lapsedRuns.clear(); // The process didn't crash.
     upstreamState.acknowledgedEnd = std::max(upstreamState.acknowledgedEnd, poll.acknowledge);
     upstream::recordClock(upstreamState, reply.clockMs, now.monotonicMs);
     for (const ListedRun &listed : reply.running) {
@@ -639,12 +651,16 @@
         internal::handlePollReply(leader, state, upstreamState, open, reply, now, output);
         return;
     }
+    const auto run = upstreamState.runs.find(open.task);
+    const bool isCurrent = run != upstreamState.runs.end() && run->second.number == open.run;
     if (reply.status == CallStatus::OtherIncarnation) {
+        if (isCurrent && open.kind == CallKind::Start && run->second.startsSent == 1) {
+            run->second.startsSent = 0; // Its only start was refused, so that it doesn't count as crashed.
+        }
         internal::endIncarnation(leader, upstreamState, "other-incarnation", now, output);
         return;
     }
-    const auto run = upstreamState.runs.find(open.task);
-    if (run == upstreamState.runs.end() || run->second.number != open.run) {
+    if (!isCurrent) {
         return;
     }
     if (open.kind == CallKind::Start) {
--- a/Source/deployment/leaderwaiting.cpp
+++ b/Source/deployment/leaderwaiting.cpp
@@ -55,18 +55,21 @@
     return job.spec.repeatCount == 0 ? 0 : job.spec.startAtMs + occurrence * job.spec.intervalMs;
 }
 
-std::vector<std::uint32_t> unplacedTasks(const Leader &leader, const job::State &state, const job::Job &job, const StepRef &ref)
+/** Collects the tasks of a step without a run. */
+void collectUnplacedTasks(const Leader &leader, const job::State &state, const job::Job &job, WaitingStep &waiting)
 {
-    std::vector<std::uint32_t> unplaced;
+    const StepRef &ref = waiting.ref;
+    waiting.unplaced.clear();
+    waiting.crashes = 0;
     for (std::uint32_t index = 0; index < job.spec.steps[ref.step]->count; ++index) {
         const job::TaskRef taskRef{ref.job, ref.occurrence, ref.step, index};
         const job::Task *task = job::findTask(state, taskRef);
         const bool idle = task == nullptr || (!task->done && task->activeRun == 0);
         if (idle && leader.placements.count(taskRef) == 0) {
-            unplaced.push_back(index);
+            waiting.unplaced.push_back(index);
+            waiting.crashes = std::max(waiting.crashes, task == nullptr ? 0 : task->crashes);
         }
     }
-    return unplaced;
 }
 }
 
@@ -131,7 +134,7 @@
         waiting.dueWallMs = dueTimeMs(job, ref.occurrence);
         waiting.key = waitingKey(queue, job, ref.step, waiting.dueWallMs, now);
     }
-    waiting.unplaced = unplacedTasks(leader, state, job, ref);
+    collectUnplacedTasks(leader, state, job, waiting);
     leader.placementNeeded = true;
 }
 
--- a/Source/deployment/placing.h
+++ b/Source/deployment/placing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "deployment/leader.h"
+#include "policy/crashisolation.h"
 #include "policy/upstreamplacement.h"
 
 #include <cstdint>
@@ -18,6 +19,8 @@
 {
     upstream::UpstreamState *state = nullptr;
     bool reserved = false; ///< Reserved for a gang that ranks higher in this pass.
+    std::uint64_t suspectJob = 0; ///< Job of the unproven suspects that run there; 0 for none, the highest value for several jobs.
+    bool exclusive = false; ///< An unproven suspect there runs alone.
 };
 
 /** The candidates of one service. */
@@ -38,6 +41,8 @@
     const wire::QueueSpecT &queue;
     Advice &advice;
     std::span<PlacementCandidate> candidates; ///< Candidates of the queue's service.
+    policy::Isolation isolation = policy::Isolation::None; ///< By the crashes under its tasks.
+    std::size_t maxTasks = SIZE_MAX; ///< Maximum number of tasks to place.
 };
 
 /** The advice service's reply on an upstream for a step. */
--- a/Source/job/jobimage.cpp
+++ b/Source/job/jobimage.cpp
@@ -20,6 +20,9 @@
             entry->activeRun = task.activeRun;
             entry->upstream = task.upstream;
             entry->checkpoint = task.checkpoint;
+            entry->crashes = task.crashes;
+            entry->confirmedCrashes = task.confirmedCrashes;
+            entry->crashedRun = task.crashedRun;
             steps->tasks.push_back(std::move(entry));
         }
         steps->failedGangRun = step.failedGangRun;
@@ -50,7 +53,15 @@
         StepRuns &runs = occurrence.steps.emplace_back();
         runs.failedGangRun = step->failedGangRun;
         for (const auto &entry : step->tasks) {
-            runs.tasks.push_back({entry->run, entry->failed, entry->activeRun, entry->upstream, entry->done, entry->checkpoint});
+            runs.tasks.push_back({entry->run,
+                                  entry->failed,
+                                  entry->activeRun,
+                                  entry->upstream,
+                                  entry->done,
+                                  entry->checkpoint,
+                                  entry->crashes,
+                                  entry->confirmedCrashes,
+                                  entry->crashedRun});
             runs.doneCount += entry->done ? 1 : 0;
             runs.activeCount += entry->activeRun > 0 ? 1 : 0;
         }
--- a/Source/job/jobs.cpp
+++ b/Source/job/jobs.cpp
@@ -187,6 +187,37 @@
     }
 }
 
+/** Counts the crash of an upstream under a run, and fails the job of its task at the maximum. */
+void countCrash(State &state, const wire::RunPlaced &run, bool confirmed, const wire::RunsCrashedT &record)
+{
+    const auto found = state.jobs.find(run.job());
+    if (found == state.jobs.end() || hasEnded(found->second.phase)) {
+        return;
+    }
+    Job &job = found->second;
+    Task *task = findOrCreateTask(job, run.occurrence(), run.step(), run.index());
+    if (task == nullptr || task->done || run.run() <= task->crashedRun || run.run() > task->run) {
+        return;
+    }
+    task->crashedRun = run.run();
+    ++task->crashes;
+    task->confirmedCrashes += confirmed ? 1 : 0;
+    if (task->confirmedCrashes >= record.maxCrashes || task->crashes >= record.maxPossibleCrashes) {
+        endJob(job, Phase::Failed, record.atMs);
+        discardRunState(job);
+    }
+}
+
+void applyCrashed(State &state, const wire::RunsCrashedT &record)
+{
+    for (const wire::RunPlaced &run : record.runs) {
+        countCrash(state, run, true, record);
+    }
+    for (const wire::RunPlaced &run : record.possibleRuns) {
+        countCrash(state, run, false, record);
+    }
+}
+
 void applyForgotten(State &state, const wire::JobsForgottenT &record)
 {
     for (const std::uint64_t number : record.jobs) {
@@ -240,6 +271,8 @@
                 discardRunState(job->second);
             }
         }
+    } else if (const auto *crashed = record.change.AsRunsCrashed()) {
+        applyCrashed(state, *crashed);
     } else if (const auto *cancelled = record.change.AsJobCancelled()) {
         const auto found = state.jobs.find(cancelled->job);
         if (found != state.jobs.end()) {
--- a/Source/job/jobs.h
+++ b/Source/job/jobs.h
@@ -34,6 +34,9 @@
     std::uint32_t upstream = 0; ///< Number of the upstream of the active run; 0 for none.
     bool done = false;
     std::string checkpoint; ///< Latest checkpoint; empty for none.
+    std::uint32_t crashes = 0; ///< Number of runs under which an upstream crashed, or may have.
+    std::uint32_t confirmedCrashes = 0; ///< Number of those that are known to have been in progress.
+    std::uint32_t crashedRun = 0; ///< Latest run counted as a crash; 0 for none.
 };
 
 /** The tasks of one step in one occurrence of a job. */
--- a/Source/upstream/upstreamstate.cpp
+++ b/Source/upstream/upstreamstate.cpp
@@ -10,6 +10,12 @@
 /** Age of the lists up to which the process that returned them is taken to be the one that receives an acknowledgement: less than a process takes to be
  * replaced by another one that has begun and ended a run. */
 constexpr std::uint64_t maxConfirmationAgeMs = 300;
+/** Age of the latest contact up to which the process is taken to have received an order: a heartbeat and its delivery. */
+constexpr std::uint64_t maxContactAgeMs = 2000;
+/** A task that runs until its job is cancelled isn't taken for the cause of a crash that happens later than this after its start. */
+constexpr std::uint64_t longRunningSuspicionMs = 30000;
+/** Time after which a run of a suspect counts as working well. */
+constexpr std::uint64_t provenAfterMs = 1000;
 
 /** @return the local time by which the lease of any process is over that took a call sent until now. */
 std::uint64_t longestLapseBoundMs(const LeaseTiming &timing, std::uint64_t nowMs)
@@ -84,9 +90,29 @@
     return !model::fits(upstreamState.used, upstreamState.capacity);
 }
 
+CrashEvidence crashEvidence(const UpstreamState &upstreamState, const Run &run)
+{
+    // The age of a run that an earlier leader started is unknown.
+    const bool hasRunForLong = run.firstOrderedAtMs == 0 || (run.startedAtMs > 0 && upstreamState.lastContactMs > run.startedAtMs + longRunningSuspicionMs);
+    if (run.longRunning && hasRunForLong) {
+        return CrashEvidence::None;
+    }
+    if (run.located || run.startedAtMs > 0) {
+        return CrashEvidence::Confirmed;
+    }
+    const bool ordered = run.startsSent > 0 && run.firstOrderedAtMs <= upstreamState.lastContactMs + maxContactAgeMs;
+    return ordered || run.phase == RunPhase::Inherited ? CrashEvidence::Possible : CrashEvidence::None;
+}
+
+bool isUnprovenSuspect(const Run &run, std::uint64_t nowMs)
+{
+    return run.crashes > 0 && (run.startedAtMs == 0 || nowMs < run.startedAtMs + provenAfterMs);
+}
+
 Run &addRun(UpstreamState &upstreamState, Run run)
 {
     upstreamState.used = upstreamState.used + run.need;
+    upstreamState.hasSuspects = upstreamState.hasSuspects || run.crashes > 0;
     return upstreamState.runs.insert_or_assign(run.task, std::move(run)).first->second;
 }
 
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -36,6 +36,8 @@
     RunPhase phase = RunPhase::Recording;
     model::Resources need;
     bool gang = false; ///< The run is a member of a gang, whose members end together.
+    bool longRunning = false; ///< The task runs until its job is cancelled.
+    std::uint32_t crashes = 0; ///< Number of earlier runs of the task under which an upstream crashed.
     std::string ticket; ///< Issued by the advice service; empty if the queue needs none.
     std::string checkpoint; ///< Latest checkpoint that the upstream reported.
     std::uint64_t firstOrderedAtMs = 0; ///< Time of the first start.
@@ -49,6 +51,14 @@
     bool stopRequested = false; ///< The run is stopped as soon as it is known to be running.
 };
 
+/** A run of a process that has crashed, or may have. */
+struct CrashedRun
+{
+    job::TaskRef task;
+    std::uint32_t number = 0;
+    bool confirmed = false; ///< The run is known to have been in progress there.
+};
+
 /** A reading of an upstream's clock. */
 struct ClockSample
 {
@@ -85,6 +95,8 @@
     std::uint64_t renewedMs = 0; ///< Time of the latest lease renewal.
     std::uint64_t shapeMs = 0; ///< Time of the latest heartbeat, which states the capacity; 0 before the first one.
     std::map<job::TaskRef, Run> runs;
+    bool hasSuspects = false; ///< A run with crashes may not be proven to work well yet.
+    std::vector<CrashedRun> lapsedRuns; ///< Runs recorded as lost with the lease. If the process turns out to have crashed, they count as crashed under it.
     double failures = 0; ///< Number of failed runs, decayed exponentially.
     double successes = 0; ///< Number of successful runs, decayed exponentially.
     std::uint64_t avoidedUntilMs = 0; ///< The upstream gets no new runs before this time.
@@ -151,6 +163,23 @@
 /** @param upstreamState the upstream state. @return whether its runs need more than its capacity, as after a reduction of it. */
 bool isOverCapacity(const UpstreamState &upstreamState);
 
+/** What is known of a run when the process of its upstream has ended unexpectedly. */
+enum class CrashEvidence {
+    None, ///< It wasn't in progress.
+    Possible, ///< It was ordered while the process answered, or placed by an earlier leader; the start may not have arrived.
+    Confirmed, ///< A list showed it, or its start was answered.
+};
+
+/**
+ * Decides whether a crash of the registered process counts for a run.
+ * @param upstreamState the upstream state. @param run a run of it.
+ * @return the evidence that the run was in progress. A task that runs until its job is cancelled, and had run for long, isn't taken for the cause.
+ */
+CrashEvidence crashEvidence(const UpstreamState &upstreamState, const Run &run);
+
+/** @param run a run. @param nowMs current time. @return whether an upstream crashed under the task before and it isn't known yet to run well this time. */
+bool isUnprovenSuspect(const Run &run, std::uint64_t nowMs);
+
 /** Adds a run, which occupies capacity. @param upstreamState the upstream state. @param run the run. @return the stored run. */
 Run &addRun(UpstreamState &upstreamState, Run run);
 
--- a/Tests/job/jobs.cpp
+++ b/Tests/job/jobs.cpp
@@ -66,6 +66,15 @@
     applyChange(state, std::move(record));
 }
 
+void crash(job::State &state, std::uint32_t index, std::uint32_t run, bool confirmed = true)
+{
+    wire::RunsCrashedT record;
+    record.maxCrashes = 3;
+    record.maxPossibleCrashes = 4;
+    (confirmed ? record.runs : record.possibleRuns).emplace_back(1, 1, 0, 0, index, run);
+    applyChange(state, std::move(record));
+}
+
 job::Phase phaseOf(const job::State &state)
 {
     return state.jobs.at(1).phase;
@@ -164,6 +173,60 @@
     CHECK(copy.jobNumberById.count("j") == 1);
 }
 
+/** A task that crashes each upstream was started again without end, as lost runs don't count as attempts. */
+TEST_CASE(Jobs, ATaskThatCrashesUpstreamsFailsItsJob)
+{
+    job::State state = stateWithJob({makeStep(2)});
+    for (std::uint32_t run = 1; run <= 3; ++run) {
+        place(state, 0, 0, run);
+        place(state, 0, 1, run);
+        CHECK(phaseOf(state) == job::Phase::Running);
+        crash(state, 0, run);
+        crash(state, 0, run); // Recorded again by a new leader.
+        end(state, 0, 0, run, wire::RunEnd::Lost);
+        end(state, 0, 1, run, wire::RunEnd::Lost);
+    }
+    CHECK(phaseOf(state) == job::Phase::Failed);
+}
+
+/** The upstream may have crashed before an unanswered start arrived, so that more of these are needed. */
+TEST_CASE(Jobs, CrashesUnderUnansweredStartsFailTheJobLater)
+{
+    job::State state = stateWithJob({makeStep(1)});
+    for (std::uint32_t run = 1; run <= 4; ++run) {
+        place(state, 0, 0, run);
+        CHECK(phaseOf(state) == job::Phase::Running);
+        crash(state, 0, run, run < 3);
+        end(state, 0, 0, run, wire::RunEnd::Lost);
+    }
+    CHECK(phaseOf(state) == job::Phase::Failed);
+}
+
+TEST_CASE(Jobs, OnlyCrashesUnderTheSameTaskAddUp)
+{
+    job::State state = stateWithJob({makeStep(3)});
+    for (std::uint32_t index = 0; index < 3; ++index) {
+        place(state, 0, index, 1);
+        crash(state, index, 1);
+        crash(state, index, 2); // That run wasn't placed.
+    }
+    CHECK(phaseOf(state) == job::Phase::Running);
+    CHECK_EQUAL(1U, job::findTask(state, {1, 0, 0, 2})->crashes);
+    end(state, 0, 0, 1, wire::RunEnd::Done);
+    crash(state, 0, 1);
+    CHECK_EQUAL(1U, job::findTask(state, {1, 0, 0, 0})->crashes);
+}
+
+TEST_CASE(Jobs, TheImageRestoresTheCrashes)
+{
+    job::State state = stateWithJob({makeStep(1)});
+    place(state, 0, 0, 1);
+    crash(state, 0, 1);
+    job::State copy = job::decodeImage(job::encodeImage(state));
+    crash(copy, 0, 1);
+    CHECK_EQUAL(1U, job::findTask(copy, {1, 0, 0, 0})->crashes);
+}
+
 TEST_CASE(Jobs, TheLongestPrefixSelectsTheQueue)
 {
     wire::PlanAcceptedT plan;
--- a/Tests/upstream/upstreamstate.cpp
+++ b/Tests/upstream/upstreamstate.cpp
@@ -107,6 +107,45 @@
     CHECK(upstreamState.lapseBoundMs < 200 + timing.longestLeaseMs);
 }
 
+/** An order that was sent long after the upstream's last reply may not have been received; the crash must not be put down to its task. */
+TEST_CASE(UpstreamState, ACrashCountsForTheRunsInProgress)
+{
+    using upstream::CrashEvidence;
+    upstream::UpstreamState upstreamState;
+    upstreamState.lastContactMs = 1000;
+    upstream::Run run;
+    CHECK(upstream::crashEvidence(upstreamState, run) == CrashEvidence::None); // Its start wasn't sent.
+    run.startsSent = 1;
+    run.firstOrderedAtMs = 3001;
+    CHECK(upstream::crashEvidence(upstreamState, run) == CrashEvidence::None);
+    run.firstOrderedAtMs = 3000;
+    CHECK(upstream::crashEvidence(upstreamState, run) == CrashEvidence::Possible);
+    run.startedAtMs = 3100;
+    CHECK(upstream::crashEvidence(upstreamState, run) == CrashEvidence::Confirmed);
+    upstream::Run inherited;
+    inherited.phase = upstream::RunPhase::Inherited;
+    CHECK(upstream::crashEvidence(upstreamState, inherited) == CrashEvidence::Possible);
+}
+
+/** Tasks that run until their job is cancelled see crashes by chance in a long life; those that cause them crash soon after each start. */
+TEST_CASE(UpstreamState, ACrashDoesNotCountForATaskThatHasRunForLong)
+{
+    using upstream::CrashEvidence;
+    upstream::UpstreamState upstreamState;
+    upstream::Run run;
+    run.longRunning = true;
+    run.startsSent = 1;
+    run.firstOrderedAtMs = 1000;
+    run.startedAtMs = 1100;
+    upstreamState.lastContactMs = 31100;
+    CHECK(upstream::crashEvidence(upstreamState, run) == CrashEvidence::Confirmed);
+    upstreamState.lastContactMs = 31101;
+    CHECK(upstream::crashEvidence(upstreamState, run) == CrashEvidence::None);
+    run.firstOrderedAtMs = 0; // Started by an earlier leader.
+    upstreamState.lastContactMs = 1200;
+    CHECK(upstream::crashEvidence(upstreamState, run) == CrashEvidence::None);
+}
+
 /** A heartbeat that was held up on its way states an old capacity. */
 TEST_CASE(UpstreamState, TheCapacityIsAsOldAsItsHeartbeat)
 {
@@ -120,6 +159,21 @@
     CHECK_EQUAL(std::uint64_t{2000}, upstreamState.shapeMs);
 }
 
+TEST_CASE(UpstreamState, ASuspectIsUnprovenUntilItHasRunForAWhile)
+{
+    upstream::UpstreamState upstreamState;
+    upstream::Run run;
+    CHECK(!upstream::isUnprovenSuspect(run, 1000));
+    run.crashes = 1;
+    CHECK(upstream::isUnprovenSuspect(run, 1000));
+    run.startedAtMs = 1000;
+    CHECK(upstream::isUnprovenSuspect(run, 1999));
+    CHECK(!upstream::isUnprovenSuspect(run, 2000));
+    CHECK(!upstreamState.hasSuspects);
+    upstream::addRun(upstreamState, run);
+    CHECK(upstreamState.hasSuspects);
+}
+
 TEST_CASE(UpstreamState, RunsExceedAReducedCapacity)
 {
     upstream::UpstreamState upstreamState;
