deployment: Store a fence that was raised after a refusal

Cause: a leader that is refused for a lower fence while it holds its lease raised the step in memory only. The next leader takes the stored one, and after a fail-over both could use the same fence at that upstream.

Change: the raised step is proposed with the registration. The raising itself had no test: Deployment.AnUpstreamWithAHigherFenceIsUsedAgain fails without it.

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -496,8 +496,10 @@
         }
         upstreamState.silent = upstreamState.silent || reply.status == CallStatus::NoAnswer;
         if (reply.status == CallStatus::Fenced) {
-            // Only the leader with the lease gets here, so the higher fence is its own, of a registration that has been removed since.
+            // With the leader lease there is no newer leader, so the higher fence is of a registration that has been removed since. Without it no orders are
+            // sent.
             ++upstreamState.registration.fenceStep;
+            proposeRegistration(upstreamState, output);
         }
         upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
         ++leader.counters.pollsUnanswered;
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -484,6 +484,21 @@
     CHECK_TEXT("", violationsText(fleet));
 }
 
+/** The fence that an upstream has seen outlasts the registration that it was derived from, and a leader with a lower one could never use that upstream again.
+ */
+TEST_CASE(Deployment, AnUpstreamWithAHigherFenceIsUsedAgain)
+{
+    FleetOptions options;
+    options.upstreams = 1;
+    Fleet fleet(options);
+    waitUntilReady(fleet);
+    CHECK(fleet.putPlan(1, 2, false));
+    fleet.upstreams[0].fence = fleet.leader()->host->leader.term + 2;
+    fleet.submit("/0/j1", {makeStep(1, 1000, 300)});
+    CHECK(completes(fleet, "/0/j1", 12000));
+    CHECK_TEXT("", violationsText(fleet));
+}
+
 /** A host that sent a request to the advice service for another leader had one of its own with the same id. The reply to the one was taken for that to the
  * other, and the upstreams that it didn't name counted as denied for good: the step was never started. */
 TEST_CASE(Deployment, RequestsForAdviceOfTwoLeadersHaveDifferentIds)
