deployment: Require more evidence before a task is given up

What callers would have seen: an ordinary job shown as failed (LOST).

What the leader knows of a process before its crash is as old as the last list.

Change: four confirmed crashes instead of three, five of both kinds instead of four. The rule gives up to five starts.

Cost: a task crashes 4 upstreams if its starts are answered and 5 if not (3 and 4 before), a gang of eight 12 to 15 (9 to 12), a step of ten 12 or 13 (8 or 9). The bounds of the tests in crashes.cpp follow the design, at most the users' five; the checks of the stand-in (BUDGET after three starts more, LOST) are unchanged.

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -46,8 +46,8 @@
     std::uint64_t resendMs = 150; ///< Delay before an unanswered order is sent again.
     std::uint64_t gangWaitMs = 3000; ///< Time for which an upstream lets the members of a gang wait for each other.
     std::uint64_t maxShapeAgeMs = 3500; ///< Time after a heartbeat for which the capacity that it stated may be filled: two heartbeats.
-    std::uint32_t maxCrashes = 3; ///< Number of upstreams whose crash under a task fails its job.
-    std::uint32_t maxPossibleCrashes = 4; ///< The same, with those counted whose start had no answer.
+    std::uint32_t maxCrashes = 4; ///< Number of upstreams whose crash under a task fails its job.
+    std::uint32_t maxPossibleCrashes = 5; ///< The same, with those counted whose start had no answer.
 };
 
 /** Kind of a call to an upstream. */
--- a/Tests/deployment/crashes.cpp
+++ b/Tests/deployment/crashes.cpp
@@ -20,9 +20,9 @@
 /** Time within which a crashing job must be given up. */
 constexpr std::uint64_t giveUpMs = 60000;
 /** Number of crashes at which a task must be given up whose starts were answered. */
-constexpr std::uint64_t maxCrashes = 3;
+constexpr std::uint64_t maxCrashes = 4;
 /** The same for starts without an answer, and for runs that the leader inherited: the upstream may have crashed before they began. */
-constexpr std::uint64_t maxPossibleCrashes = 4;
+constexpr std::uint64_t maxPossibleCrashes = 5;
 
 /** @param newId whether a crashed upstream comes back as a new one. @param delayMs time between the start of a crashing task and the crash. @return the options
  * of a fleet. */
