--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -337,14 +337,21 @@
     CHECK(fleet.starts >= 3);
 }
 
-/** An upstream took a start before the leader knew of its process, which limits that lease to the longest allowed. Runs started there later last as long, but
- * the leader counted the leases that it had granted itself, and started a task again elsewhere while it was still running. */
-TEST_CASE(Deployment, ARunOutlastsTheLeaseThatItsProcessTookBeforeItWasRegistered)
+namespace
+{
+/** @return the options of a fleet with couriers and two upstreams, each with capacity for one task of four cores. */
+FleetOptions twoSmallUpstreams()
 {
     FleetOptions options = withCouriers();
     options.upstreams = 2;
     options.cpuMillis = 4000;
-    Fleet fleet(options);
+    return options;
+}
+
+/** Occupies one of two upstreams and completes a short job on the other, whose start was sent before the leader knew that its process had been replaced.
+ * @return the latter upstream. */
+fakes::FakeUpstream &startOnUnknownProcess(Fleet &fleet)
+{
     waitUntilReady(fleet);
     CHECK(fleet.putPlan(1, 2, false));
     fleet.submit("/0/fill", {makeStep(1, 4000, 60000)}); // Occupies one of the upstreams.
@@ -360,6 +367,16 @@
         1500));
     partitionFromControl(fleet, target.id, false);
     CHECK(completes(fleet, "/0/j1", 5000));
+    return target;
+}
+}
+
+/** An upstream took a start before the leader knew of its process, which limits that lease to the longest allowed. Runs started there later last as long, but
+ * the leader counted the leases that it had granted itself, and started a task again elsewhere while it was still running. */
+TEST_CASE(Deployment, ARunOutlastsTheLeaseThatItsProcessTookBeforeItWasRegistered)
+{
+    Fleet fleet(twoSmallUpstreams());
+    fakes::FakeUpstream &target = startOnUnknownProcess(fleet);
     fleet.submit("/0/j2", {makeStep(1, 4000, 30000)});
     CHECK(fleet.runUntil(
         [&] {
@@ -376,25 +393,8 @@
 /** As above, but the leader that had sent the start was lost after it had recorded the end. Its successor inherited no run there and counted its own leases. */
 TEST_CASE(Deployment, ANewLeaderAllowsForLeasesOfUpstreamsWithoutRuns)
 {
-    FleetOptions options = withCouriers();
-    options.upstreams = 2;
-    options.cpuMillis = 4000;
-    Fleet fleet(options);
-    waitUntilReady(fleet);
-    CHECK(fleet.putPlan(1, 2, false));
-    fleet.submit("/0/fill", {makeStep(1, 4000, 60000)}); // Occupies one of the upstreams.
-    fleet.run(1500);
-    fakes::FakeUpstream &target = fleet.upstreams[fleet.upstreams[0].runs.empty() ? 0 : 1];
-    partitionFromControl(fleet, target.id, true);
-    fleet.restart(target);
-    fleet.submit("/0/j1", {makeStep(1, 4000, 200)});
-    CHECK(fleet.runUntil(
-        [&] {
-            return !target.runs.empty();
-        },
-        1500));
-    partitionFromControl(fleet, target.id, false);
-    CHECK(completes(fleet, "/0/j1", 5000));
+    Fleet fleet(twoSmallUpstreams());
+    fakes::FakeUpstream &target = startOnUnknownProcess(fleet);
     fleet.kill(*fleet.leader());
     CHECK(fleet.runUntil(
         [&] {
