deployment: Log why a run was lost, and an end as done that comes after

Users saw a task run twice, without ids or times. The logs couldn't tell the ways in which the leader gives up a run without an end listed by its upstream: lease over, address taken, another process answers, absent from a list. An end as done that was listed after the run had been replaced was dropped without a trace, although it is the one sign of a second execution that the leader sees.

Each such run now has a run-lost line with its cause and the evidence (phase, whether a list had contained it, starts sent), and each such end a done-after-replacement line and a counter. The test failed before the counter counted (expected 1, actual 0). An end of a job whose state is discarded already isn't recognised.

--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -52,6 +52,7 @@
     appendMetric(text, "ends_lapsed_total", counters.endsLapsed);
     appendMetric(text, "ends_broken_total", counters.endsBroken);
     appendMetric(text, "ends_alone_total", counters.endsAlone);
+    appendMetric(text, "ends_after_replacement_total", counters.endsAfterReplacement);
     appendMetric(text, "runs_lost_total", counters.runsLost);
     appendMetric(text, "runs_never_total", counters.runsNever);
     appendMetric(text, "upstreams_crashed_total", counters.upstreamsCrashed);
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -280,6 +280,7 @@
     std::uint64_t endsLapsed = 0;
     std::uint64_t endsBroken = 0;
     std::uint64_t endsAlone = 0;
+    std::uint64_t endsAfterReplacement = 0; ///< Ends as done of runs that were recorded as lost and replaced.
     std::uint64_t runsLost = 0;
     std::uint64_t runsNever = 0;
     std::uint64_t upstreamsCrashed = 0; ///< Upstreams that ended unexpectedly under runs.
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -74,19 +74,30 @@
 /** Passed to markRunsLost() for a process that has ended: no lease of it is valid. */
 constexpr std::uint64_t alwaysOverMs = UINT64_MAX;
 
+/** Logs a run that is ended without an end listed by its upstream, with the evidence for it. @param cause the reason. */
+void reportUnlistedEnd(const UpstreamState &upstreamState, const Run &run, const char *cause, LeaderOutput &output)
+{
+    output.decisions.push_back({"run-lost",
+                                upstreamState.registration.id,
+                                "job=" + std::to_string(run.task.job) + " step=" + std::to_string(run.task.step) + " index=" + std::to_string(run.task.index)
+                                    + " run=" + std::to_string(run.number) + " cause=" + cause + " phase=" + std::to_string(static_cast<int>(run.phase))
+                                    + " located=" + std::to_string(static_cast<int>(run.located)) + " starts=" + std::to_string(run.startsSent)});
+}
+
 /**
  * Marks the runs of an upstream as lost, except those without a start.
  * @param leader the leader state. @param upstreamState the upstream state. @param overMs runs that may continue until this time or later are retained. @param
- * now the current time.
+ * cause the reason, for the log. @param now the current time.
  * @param output receives the effects.
  * @return the number of lost runs.
  */
-std::size_t markRunsLost(Leader &leader, UpstreamState &upstreamState, std::uint64_t overMs, const Now &now, LeaderOutput &output)
+std::size_t markRunsLost(Leader &leader, UpstreamState &upstreamState, std::uint64_t overMs, const char *cause, const Now &now, LeaderOutput &output)
 {
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
     for (const auto &[task, run] : upstreamState.runs) {
         if (run.phase != RunPhase::Recording && overMs > upstream::lapseBoundOf(upstreamState, run)) {
+            reportUnlistedEnd(upstreamState, run, cause, output);
             proposeEnd(run, wire::RunEnd::Lost, run.checkpoint, record);
             endedTasks.push_back(task);
         }
@@ -110,7 +121,7 @@
     upstreamState.gone = true;
     upstreamState.listsRead = false;
     reportCrash(leader, upstreamState, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
-    markRunsLost(leader, upstreamState, alwaysOverMs, now, output);
+    markRunsLost(leader, upstreamState, alwaysOverMs, cause, now, output);
 }
 
 void endIncarnationsAt(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now, LeaderOutput &output)
@@ -179,7 +190,7 @@
             upstreamState.lapsedRuns.push_back({task, run.number, evidence == upstream::CrashEvidence::Confirmed});
         }
     }
-    const std::size_t lost = markRunsLost(leader, upstreamState, overMs, now, output);
+    const std::size_t lost = markRunsLost(leader, upstreamState, overMs, "lease-over", now, output);
     if (lost > 0) {
         output.decisions.push_back(
             {"leases-over",
@@ -406,6 +417,13 @@
                 completed.task = task;
                 completed.number = end.run;
                 proposeEnd(completed, end.end, end.checkpoint, record);
+            } else if (end.end == wire::RunEnd::Done && known != nullptr && known->run > end.run) {
+                // Allowed only if the lease lapsed after the end; otherwise the task is carried out twice.
+                ++leader.counters.endsAfterReplacement;
+                output.decisions.push_back({"done-after-replacement",
+                                            end.job,
+                                            "step=" + std::to_string(task.step) + " index=" + std::to_string(task.index) + " run=" + std::to_string(end.run)
+                                                + " later=" + std::to_string(known->run) + " upstream=" + upstreamState.registration.id});
             }
             continue; // Any other end is recorded already.
         }
@@ -455,6 +473,7 @@
         if (inherited || vanished || voided) {
             const wire::RunEnd end = voided ? wire::RunEnd::Never : wire::RunEnd::Lost;
             ++(voided ? leader.counters.runsNever : leader.counters.runsLost);
+            reportUnlistedEnd(upstreamState, run, inherited ? "absent-inherited" : voided ? "absent-stopped" : "absent-running", output);
             proposeEnd(run, end, run.checkpoint, record);
             endedTasks.push_back(task);
         }
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -190,6 +190,30 @@
     CHECK_TEXT("", violationsText(fleet));
 }
 
+/** An end as done of a run that was replaced was dropped without a trace, so that logs and metrics didn't show that a task may have been carried out twice. */
+TEST_CASE(Deployment, ADoneEndOfAReplacedRunIsCounted)
+{
+    Fleet fleet(fakes::withUpstreams(2));
+    prepare(fleet);
+    wire::StepSpecT second = makeStep(1, 1000, 20000); // The state of the first step is kept until the job has ended.
+    second.after = {0};
+    fleet.submit("/0/j", {makeStep(1, 1000, 2000), second});
+    fleet.run(500);
+    fakes::FakeUpstream &first = fleet.upstreams[fleet.upstreams[0].runs.empty() ? 1 : 0];
+    first.reachable = false;
+    constexpr std::uint64_t startsUntilSecondStep = 3;
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.starts == startsUntilSecondStep;
+        },
+        20000));
+    CHECK_EQUAL(std::uint64_t{0}, fleet.leader()->host->leader.counters.endsAfterReplacement);
+    first.reachable = true;
+    fleet.run(5000);
+    CHECK_EQUAL(std::uint64_t{1}, fleet.leader()->host->leader.counters.endsAfterReplacement);
+    CHECK_TEXT("", violationsText(fleet)); // Its lease was over in between.
+}
+
 TEST_CASE(Deployment, AnUpstreamThatRestartsLosesOnlyItsOwnRuns)
 {
     Fleet fleet({});
