consensus: Pass conflicting entries in one step a term

Cause: a follower with uncommitted entries of a deposed leader answered a mismatch with the index before it, so the new leader stepped back one entry a round trip. It can commit nothing before that, as no other voter is up.

Change: a rejection names the last index up to which the logs may be equal, skipping the follower's entries of later terms, and the term there; the leader skips its own entries of later terms. A leader of an earlier build uses the index alone, and a rejection of an earlier build contains no term and is handled as before, which has a test.

Ruled out: the resend after three heartbeats doesn't shorten this, as each rejection starts its time anew.

--- a/Source/consensus/log.cpp
+++ b/Source/consensus/log.cpp
@@ -31,6 +31,18 @@
     return entry ? entry->term : 0;
 }
 
+std::uint64_t lastIndexOfTermAtMost(const Log &log, std::uint64_t through, std::uint64_t term)
+{
+    if (through <= log.snapshotIndex) {
+        return through;
+    }
+    const auto end = log.entries.begin() + static_cast<std::ptrdiff_t>(std::min(through, lastIndex(log)) - log.snapshotIndex);
+    const auto later = std::partition_point(log.entries.begin(), end, [term](const EntryPointer &entry) {
+        return entry->term <= term;
+    });
+    return log.snapshotIndex + static_cast<std::uint64_t>(later - log.entries.begin());
+}
+
 void truncateFrom(Log &log, std::uint64_t index)
 {
     while (!log.entries.empty() && lastIndex(log) >= index) {
--- a/Source/consensus/log.h
+++ b/Source/consensus/log.h
@@ -33,6 +33,15 @@
 /** @param log a log. @param index an index. @return its term, or 0 if the log doesn't contain it. */
 std::uint64_t termAt(const Log &log, std::uint64_t index);
 
+/**
+ * Terms never decrease along a log, so entries of another log with at most this term can only equal those up to the result.
+ * @param log a log.
+ * @param through the last index to consider.
+ * @param term a term.
+ * @return the last index up to `through` of an entry with at most that term, or that of the snapshot if none has; `through` if the snapshot covers it.
+ */
+std::uint64_t lastIndexOfTermAtMost(const Log &log, std::uint64_t through, std::uint64_t term);
+
 /** Removes the end of the log. @param log a log. @param index the first entry to remove. */
 void truncateFrom(Log &log, std::uint64_t index);
 
--- a/Source/consensus/replication.cpp
+++ b/Source/consensus/replication.cpp
@@ -80,6 +80,12 @@
     progress.lastProgressMs = nowMs;
 }
 
+/** @return the last index up to which a member that rejected entries may have the same log. Members of earlier builds report no term. */
+std::uint64_t lastPossibleMatch(const Log &log, const wire::AppendReplyT &reply)
+{
+    return reply.matchTerm == 0 ? reply.matchIndex : lastIndexOfTermAtMost(log, reply.matchIndex, reply.matchTerm);
+}
+
 void removeConfirmed(Progress &progress)
 {
     while (!progress.inFlight.empty() && progress.inFlight.front().first <= progress.matchIndex) {
@@ -384,7 +390,8 @@
         && (request.previousIndex < node.log.snapshotIndex || termAt(node.log, request.previousIndex) == request.previousTerm);
     if (!holdsPrevious) {
         reply.accepted = false;
-        reply.matchIndex = std::min(lastIndex(node.log), request.previousIndex - 1);
+        reply.matchIndex = lastIndexOfTermAtMost(node.log, std::min(lastIndex(node.log), request.previousIndex - 1), request.previousTerm);
+        reply.matchTerm = termAt(node.log, reply.matchIndex);
         sendAppendReply(node, message, reply, output);
         return;
     }
@@ -429,9 +436,10 @@
             && progress.inFlightBytes < maxInFlightBytes) {
             sendAppend(node, *member, nowMs, output);
         }
-    } else if (reply.matchIndex >= progress.matchIndex && std::max(progress.matchIndex, reply.matchIndex) + 1 < progress.nextIndex) {
+    } else if (const std::uint64_t possible = std::max(progress.matchIndex, lastPossibleMatch(node.log, reply));
+               reply.matchIndex >= progress.matchIndex && possible + 1 < progress.nextIndex) {
         // Only the first of several consecutive rejections moves nextIndex back; the others carry no new information.
-        resendFrom(progress, std::max(progress.matchIndex, reply.matchIndex) + 1, nowMs);
+        resendFrom(progress, possible + 1, nowMs);
         progress.snapshotPending = false;
         sendAppend(node, *member, nowMs, output);
     }
--- a/Tests/consensus/node.cpp
+++ b/Tests/consensus/node.cpp
@@ -23,7 +23,7 @@
     return membership;
 }
 
-/** A group of nodes whose messages and syncs take no time; hosts in `down` neither run nor receive. */
+/** A group of nodes whose syncs take no time and whose messages take `delayMs` each way; hosts in `down` neither run nor receive. */
 struct Group
 {
     explicit Group(const wire::MembershipT &membership)
@@ -44,7 +44,7 @@
         journals[host].insert(journals[host].end(), output.persist.begin(), output.persist.end());
         for (auto *list : {&output.sendNow, &output.sendAfterSync}) {
             for (const auto &message : *list) {
-                queue.push_back(message);
+                queue.emplace_back(nowMs + delayMs, message);
             }
         }
         for (const auto &entry : output.committed) {
@@ -60,11 +60,13 @@
 
     void deliver()
     {
-        while (!queue.empty()) {
-            const wire::ConsensusMessageT message = queue.front();
+        while (!queue.empty() && queue.front().first <= nowMs) {
+            const wire::ConsensusMessageT message = std::move(queue.front().second);
             queue.pop_front();
             const bool up = nodes.count(message.to) > 0 && down.count(message.to) == 0 && down.count(message.from) == 0;
             if (up) {
+                const auto *reply = message.body.AsAppendReply();
+                rejections[message.to] += reply != nullptr && !reply->accepted ? 1 : 0;
                 consensus::Output output;
                 consensus::receive(nodes.at(message.to), message, nowMs, output);
                 handleOutput(message.to, std::move(output));
@@ -112,13 +114,39 @@
     }
 
     std::uint64_t nowMs = 0;
+    std::uint64_t delayMs = 0;
     std::map<std::string, Node> nodes;
     std::map<std::string, std::vector<wire::JournalRecordT>> journals;
     std::map<std::string, std::vector<wire::Bytes>> applied;
     std::map<std::string, bool> down;
-    std::deque<wire::ConsensusMessageT> queue;
+    std::map<std::string, std::size_t> rejections; ///< Rejected appends that a host learnt of.
+    std::deque<std::pair<std::uint64_t, wire::ConsensusMessageT>> queue; ///< Messages with the time of their arrival.
 };
 
+wire::MembershipT threeVoters()
+{
+    return makeMembership({{"a", wire::MemberRole::Voter}, {"b", wire::MemberRole::Voter}, {"c", wire::MemberRole::Voter}});
+}
+
+/** Appends entries to the log of a leader that is cut off: they are stored and reach nobody. */
+void appendUnreplicated(Group &group, const std::string &leader, std::size_t count)
+{
+    Node &node = group.nodes.at(leader);
+    consensus::Output lost;
+    consensus::propose(node, std::vector<wire::Bytes>(count, wire::Bytes{7}), group.nowMs, lost);
+    consensus::persisted(node, consensus::lastIndex(node.log), node.term, group.nowMs, lost);
+}
+
+/** Advances until a host leads. @return whether it does within the time. */
+bool waitForRole(Group &group, const std::string &host, consensus::Role role, std::uint64_t milliseconds)
+{
+    constexpr std::uint64_t stepMs = 10;
+    for (const std::uint64_t end = group.nowMs + milliseconds; group.nowMs < end && group.nodes.at(host).role != role;) {
+        group.advance(stepMs);
+    }
+    return group.nodes.at(host).role == role;
+}
+
 wire::MembershipT cellMembership()
 {
     return makeMembership({{"a", wire::MemberRole::Voter}, {"b", wire::MemberRole::Voter}, {"w", wire::MemberRole::Witness}});
@@ -345,7 +373,7 @@
 
 TEST_CASE(Consensus, FollowerDropsEntriesThatWereNeverCommitted)
 {
-    Group group(makeMembership({{"a", wire::MemberRole::Voter}, {"b", wire::MemberRole::Voter}, {"c", wire::MemberRole::Voter}}));
+    Group group(threeVoters());
     group.advance(3000);
     const std::string old = group.leader()->self;
     consensus::Output lost;
@@ -400,3 +428,71 @@
     CHECK(bytes > 0);
     CHECK(bytes <= consensus::maxInFlightBytes + consensus::maxAppendBytes + entryBytes);
 }
+
+/**
+ * A new leader that stepped back one entry a round trip through the uncommitted entries of a deposed leader committed nothing for seconds; with the
+ * third voter down, the next fault took the only complete log.
+ */
+TEST_CASE(Consensus, ANewLeaderPassesTheConflictingEntriesOfADeposedLeaderInOneStep)
+{
+    constexpr std::uint64_t roundTripMs = 60;
+    for (const std::size_t tail : {10U, 100U, 400U}) {
+        Group group(threeVoters());
+        group.delayMs = roundTripMs / 2;
+        group.advance(5000);
+        CHECK(group.propose(1));
+        group.advance(500);
+        const std::string deposed = group.leader()->self;
+        group.down[deposed] = true;
+        appendUnreplicated(group, deposed, tail);
+        group.advance(5000);
+        const std::string next = group.leader()->self;
+        for (std::size_t i = 0; i < tail; ++i) {
+            CHECK(group.propose(2));
+        }
+        group.advance(1000);
+        CHECK_EQUAL(tail + 1, group.applied[next].size());
+        for (const auto &[host, node] : group.nodes) {
+            group.down[host] = true;
+        }
+        group.nodes.at(next).role = consensus::Role::Follower; // As after a restart.
+        group.nodes.at(deposed).role = consensus::Role::Follower;
+        group.advance(2000);
+        group.down.erase(next);
+        group.down.erase(deposed);
+        CHECK(waitForRole(group, next, consensus::Role::Leader, 20000));
+        const std::uint64_t electedMs = group.nowMs;
+        const std::size_t before = group.rejections[next];
+        while (group.leader() == nullptr && group.nowMs < electedMs + 60000) {
+            group.advance(10);
+        }
+        CHECK(group.leader() != nullptr && group.leader()->self == next);
+        CHECK(group.nowMs - electedMs <= 3 * roundTripMs);
+        CHECK_EQUAL(std::size_t{1}, group.rejections[next] - before);
+    }
+}
+
+/** Members of an earlier build report no term: a leader steps back to the index that they report, as before. */
+TEST_CASE(Consensus, ARejectionWithoutATermStepsBackToItsIndex)
+{
+    Group group(threeVoters());
+    group.advance(5000);
+    for (std::uint8_t value = 0; value < 20; ++value) {
+        CHECK(group.propose(value));
+    }
+    Node &leader = *group.leader();
+    const std::string follower = leader.self == "a" ? "b" : "a";
+    leader.progress.at(follower).matchIndex = 0; // As after an election.
+    wire::AppendReplyT rejection;
+    rejection.matchIndex = 7;
+    wire::ConsensusMessageT message;
+    message.group = "g";
+    message.from = follower;
+    message.fromIncarnation = 1;
+    message.to = leader.self;
+    message.term = leader.term;
+    message.body.Set(rejection);
+    consensus::Output output;
+    consensus::receive(leader, message, group.nowMs, output);
+    CHECK_EQUAL(std::uint64_t{7}, output.sendNow.at(0).body.AsAppendRequest()->previousIndex);
+}
