storage: Write and send nothing after a failed write

A full or faulty disk could keep a control host from starting for good, or take entries that it had acknowledged.

Messages without records were sent too, so that entries of the failed batch were acknowledged.

Change: after a failed write the thread ignores all requests.

Ruled out: a torn batch at the end of the file is cut off at the next start, at each length (TruncatesATornTailAtEveryByte).

--- a/Source/storage/journalthread.cpp
+++ b/Source/storage/journalthread.cpp
@@ -64,6 +64,9 @@
 
 void JournalThread::handle(std::vector<consensus::PersistRequest> requests)
 {
+    if (m_failed) {
+        return; // The file may end with a part of a batch, and what was not written must not be acknowledged.
+    }
     std::map<std::string, consensus::PersistRequest> merged;
     for (consensus::PersistRequest &request : requests) {
         consensus::PersistRequest &target = merged[request.group];
@@ -79,6 +82,7 @@
     }
     for (auto &[group, request] : merged) {
         if (const std::error_code error = write(group, request.records, request.replace)) {
+            m_failed = true;
             m_callbacks.failed(group, error);
             return;
         }
--- a/Source/storage/journalthread.h
+++ b/Source/storage/journalthread.h
@@ -20,7 +20,7 @@
 {
     std::function<void(wire::ConsensusMessageT)> send; ///< Sends a message whose records are synced.
     std::function<void(const std::string &group, std::uint64_t index, std::uint64_t term)> persisted; ///< The log of a group is synced up to an index.
-    std::function<void(const std::string &group, std::error_code error)> failed; ///< A write failed; the journal must not be used again.
+    std::function<void(const std::string &group, std::error_code error)> failed; ///< A write failed; nothing is written, sent or reported any more.
 };
 
 /** Writes and syncs the journals of all groups of a host; the queued requests of a group are combined into one batch and one sync. */
@@ -55,6 +55,7 @@
     std::vector<consensus::PersistRequest> m_queue;
     std::uint64_t m_syncCount = 0;
     bool m_stopping = false;
+    bool m_failed = false; ///< A write failed; used by the thread only.
     std::thread m_thread;
 };
 }
--- a/Tests/storage/journal.cpp
+++ b/Tests/storage/journal.cpp
@@ -1,11 +1,16 @@
 #include "storage/journal.h"
 #include "storage/identity.h"
+#include "storage/journalthread.h"
 #include "storage/storageerror.h"
 #include "testing.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <fstream>
+#include <future>
+#include <map>
 
 namespace
 {
@@ -139,6 +144,111 @@
     CHECK_EQUAL(std::size_t{3}, content.records.size());
 }
 
+namespace
+{
+/** Lets writes beyond a file size fail, as on a full disk, until the destructor runs. */
+struct FileSizeLimit
+{
+    explicit FileSizeLimit(std::uint64_t bytes)
+    {
+        std::signal(SIGXFSZ, SIG_IGN);
+        CHECK_EQUAL(0, getrlimit(RLIMIT_FSIZE, &before));
+        rlimit limited = before;
+        limited.rlim_cur = bytes;
+        CHECK_EQUAL(0, setrlimit(RLIMIT_FSIZE, &limited));
+    }
+    ~FileSizeLimit()
+    {
+        setrlimit(RLIMIT_FSIZE, &before);
+    }
+    FileSizeLimit(const FileSizeLimit &) = delete;
+    FileSizeLimit(FileSizeLimit &&) = delete;
+    FileSizeLimit &operator=(const FileSizeLimit &) = delete;
+    FileSizeLimit &operator=(FileSizeLimit &&) = delete;
+    rlimit before{};
+};
+
+consensus::PersistRequest requestOf(std::uint64_t term, bool withRecords)
+{
+    consensus::PersistRequest request;
+    request.group = "g";
+    if (withRecords) {
+        request.records = batchOf(term, 20);
+    }
+    request.sendAfterSync.resize(1);
+    request.sendAfterSync[0].term = term;
+    request.index = term;
+    request.term = term;
+    return request;
+}
+
+/** What a journal thread reported. */
+struct Reported
+{
+    std::vector<std::uint64_t> sent; ///< Terms of the messages.
+    std::vector<std::uint64_t> persisted;
+    std::size_t failures = 0;
+};
+
+/** Writes a batch, lets the next write fail after `partBytes`, and posts two more requests once the disk takes writes again. */
+Reported writeAroundAFailure(const std::filesystem::path &path, std::uint64_t partBytes)
+{
+    Reported reported;
+    std::promise<void> first;
+    std::promise<void> failed;
+    std::map<std::string, storage::Journal> journals;
+    storage::JournalContent content;
+    CHECK(!journals["g"].open(path, content));
+    storage::JournalCallbacks callbacks;
+    callbacks.send = [&reported](const wire::ConsensusMessageT &message) {
+        reported.sent.push_back(message.term);
+    };
+    callbacks.persisted = [&](const std::string &, std::uint64_t index, std::uint64_t) {
+        reported.persisted.push_back(index);
+        if (index == 1) {
+            first.set_value();
+        }
+    };
+    callbacks.failed = [&](const std::string &, std::error_code) {
+        if (++reported.failures == 1) {
+            failed.set_value();
+        }
+    };
+    storage::JournalThread thread(std::move(journals), callbacks);
+    thread.post(requestOf(1, true));
+    first.get_future().wait();
+    {
+        const FileSizeLimit full(std::filesystem::file_size(path) + partBytes);
+        thread.post(requestOf(2, true));
+        failed.get_future().wait();
+    }
+    thread.post(requestOf(3, true));
+    thread.post(requestOf(4, false));
+    thread.stop();
+    return reported;
+}
+}
+
+/**
+ * The thread went on after a write that failed: a batch behind a torn one made the journal unreadable for good, one behind a batch that wasn't written at
+ * all was skipped at the next start, and messages acknowledged records that were never synced.
+ */
+TEST_CASE(Journal, NothingIsWrittenOrSentAfterAFailedWrite)
+{
+    for (const std::uint64_t partBytes : {0U, 10U, 40U}) {
+        const TemporaryFolder folder;
+        const Reported reported = writeAroundAFailure(folder.path / "j", partBytes);
+        CHECK(reported.sent == std::vector<std::uint64_t>{1});
+        CHECK(reported.persisted == std::vector<std::uint64_t>{1});
+        CHECK_EQUAL(std::size_t{1}, reported.failures);
+        storage::Journal again;
+        storage::JournalContent content;
+        CHECK(!again.open(folder.path / "j", content));
+        CHECK_EQUAL(std::size_t{1}, content.records.size());
+        CHECK_EQUAL(partBytes, content.tornBytes);
+    }
+}
+
 TEST_CASE(Identity, IsWrittenOnceAndReadBack)
 {
     const TemporaryFolder folder;
