--- a/Source/consensus/replication.cpp
+++ b/Source/consensus/replication.cpp
@@ -458,14 +458,19 @@
         sendAppendReply(node, message, reply, output);
         return;
     }
-    node.log.entries.clear();
+    if (request.lastIndex <= lastIndex(node.log) && termAt(node.log, request.lastIndex) == request.lastTerm) {
+        // The entries after the snapshot may have been committed with the acknowledgement of this member.
+        discardThrough(node.log, request.lastIndex);
+    } else {
+        node.log.entries.clear();
+        node.persisted = 0;
+    }
     node.log.snapshotIndex = request.lastIndex;
     node.log.snapshotTerm = request.lastTerm;
     node.log.snapshotMembership = request.membership ? *request.membership : wire::MembershipT{};
     node.log.snapshotImage = request.image;
     node.commit = request.lastIndex;
     node.applied = request.lastIndex;
-    node.persisted = 0;
     refreshMembership(node);
     output.restoredImage = request.image;
     output.committed.clear();
--- a/Tests/consensus/node.cpp
+++ b/Tests/consensus/node.cpp
@@ -1,6 +1,7 @@
 #include "consensus/node.h"
 #include "testing.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 
@@ -496,3 +497,81 @@
     consensus::receive(leader, message, group.nowMs, output);
     CHECK_EQUAL(std::uint64_t{7}, output.sendNow.at(0).body.AsAppendRequest()->previousIndex);
 }
+
+namespace
+{
+/** @return a member as it is after a restart: it holds its log and knows no commit index. */
+Node restarted(const Group &group, const std::string &host, const std::vector<wire::JournalRecordT> &records)
+{
+    Node node;
+    node.group = "g";
+    node.self = host;
+    node.incarnation = 1;
+    consensus::initialise(node, threeVoters(), group.nowMs);
+    for (const auto &record : records) {
+        consensus::restore(node, record);
+    }
+    consensus::finishRestore(node, group.nowMs);
+    return node;
+}
+
+consensus::Output receiveSnapshot(Node &node, const Node &leader, std::uint64_t lastIndex, std::uint64_t lastTerm, std::uint64_t nowMs)
+{
+    wire::SnapshotRequestT request;
+    request.lastIndex = lastIndex;
+    request.lastTerm = lastTerm;
+    request.membership = std::make_unique<wire::MembershipT>(threeVoters());
+    request.image = {42};
+    wire::ConsensusMessageT message;
+    message.group = "g";
+    message.from = leader.self;
+    message.fromIncarnation = 1;
+    message.to = node.self;
+    message.term = std::max(leader.term, lastTerm);
+    message.body.Set(std::move(request));
+    consensus::Output output;
+    consensus::receive(node, message, nowMs, output);
+    return output;
+}
+}
+
+/** A snapshot removed all entries of a follower, also later ones that it had acknowledged and that were committed by that; a second loss took them. */
+TEST_CASE(Consensus, ASnapshotKeepsTheMatchingEntriesAfterIt)
+{
+    Group group(threeVoters());
+    group.advance(5000);
+    for (std::uint8_t value = 0; value < 20; ++value) {
+        CHECK(group.propose(value));
+    }
+    const Node &leader = *group.leader();
+    const std::string host = leader.self == "a" ? "b" : "a";
+    const std::uint64_t last = consensus::lastIndex(leader.log);
+    const std::uint64_t covered = last - 5;
+
+    Node follower = restarted(group, host, group.journals[host]);
+    const consensus::Output output = receiveSnapshot(follower, leader, covered, consensus::termAt(leader.log, covered), group.nowMs);
+    CHECK(output.restoredImage.has_value() && output.replaceJournal);
+    CHECK_EQUAL(covered, follower.applied);
+    CHECK_EQUAL(covered, follower.log.snapshotIndex);
+    CHECK_EQUAL(last, consensus::lastIndex(follower.log));
+    const Node again = restarted(group, host, output.persist);
+    CHECK_EQUAL(last, consensus::lastIndex(again.log));
+    CHECK_EQUAL(leader.term, consensus::lastTerm(again.log));
+}
+
+TEST_CASE(Consensus, ASnapshotRemovesConflictingEntries)
+{
+    Group group(threeVoters());
+    group.advance(5000);
+    for (std::uint8_t value = 0; value < 20; ++value) {
+        CHECK(group.propose(value));
+    }
+    const Node &leader = *group.leader();
+    const std::string host = leader.self == "a" ? "b" : "a";
+    const std::uint64_t covered = consensus::lastIndex(leader.log) - 5;
+
+    Node follower = restarted(group, host, group.journals[host]);
+    receiveSnapshot(follower, leader, covered, leader.term + 1, group.nowMs);
+    CHECK_EQUAL(covered, consensus::lastIndex(follower.log));
+    CHECK_EQUAL(leader.term + 1, consensus::lastTerm(follower.log));
+}
