deployment: Ignore heartbeats that describe no upstream to use

Callers saw a task run twice: a heartbeat of another sender ended the runs of an upstream that went on with them, and they were placed again.

Cause: a heartbeat was taken for an upstream's whatever it lacked, and whichever service it named. With a fresh id, a known address and a later start it ended all runs at that address; with a known id and a later start it had them stopped and made the upstream's own heartbeats count as delayed; with the same start and another address it sent the calls to that address, whose refusal ended the runs.

The leader ignores (and counts) a heartbeat of a service that the plan in force doesn't name, except of an upstream that is known with it, so that runs are kept when a plan drops a service; and one that names another address or service for the same process. Before the first plan each service counts as named: no task can be placed yet. A service that a later plan names registers with the next heartbeat.

The heartbeat of RejectsMalformedHeartbeats had no version, slots, gpu and coldRemainingMs, which is what is rejected now; it has all fields, and the checks are the same. The plan of the simulated deployment names its service, as each valid plan does.

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -285,7 +285,7 @@
     std::uint64_t upstreamsCrashed = 0; ///< Upstreams that ended unexpectedly under runs.
     std::uint64_t runsCrashed = 0; ///< Runs that were in progress on them.
     std::uint64_t jobsGivenUp = 0; ///< Jobs that failed since too many upstreams crashed under one of their tasks.
-    std::uint64_t badHeartbeats = 0;
+    std::uint64_t badHeartbeats = 0; ///< Heartbeats that describe no upstream to use.
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
@@ -370,7 +370,7 @@
 // leaderupstreams.cpp
 std::uint64_t fenceFor(const Leader &leader, const upstream::UpstreamState &upstreamState);
 void addUpstream(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now);
-void handleHeartbeat(Leader &leader, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output);
+void handleHeartbeat(Leader &leader, const job::State &state, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output);
 void handleLeave(Leader &leader, Token token, const std::string &id, const Now &now, LeaderOutput &output);
 void applyUpstreamRecord(Leader &leader, const job::State &state, const wire::UpstreamSeenT &record, const Now &now);
 void tickUpstreams(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -213,7 +213,7 @@
         reportLength(leader, state, token, request, output);
         return;
     case wire::Operation::UpstreamBeat:
-        internal::handleHeartbeat(leader, token, *request.beat, now, output);
+        internal::handleHeartbeat(leader, state, token, *request.beat, now, output);
         return;
     case wire::Operation::UpstreamLeave:
         internal::handleLeave(leader, token, request.worker, now, output);
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -134,6 +134,31 @@
     });
 }
 
+/** @return whether the plan names a service; any service may be named by the first plan. */
+bool isNamedService(const job::State &state, const std::string &service)
+{
+    return state.plan.version == 0 || std::any_of(state.plan.services.begin(), state.plan.services.end(), [&service](const auto &named) {
+               return named->name == service;
+           });
+}
+
+/** @return whether a heartbeat isn't of the process that it names: a process keeps its address and service until it ends. */
+bool contradictsProcess(const wire::UpstreamSeenT &seen, const wire::UpstreamSeenT &registered)
+{
+    return seen.born != 0 && seen.born == registered.born && (seen.address != registered.address || seen.service != registered.service);
+}
+
+/** @return whether a heartbeat describes an upstream to use. Others may send heartbeats too; an upstream whose service a later plan drops is still used. */
+bool isOfUsableUpstream(const Leader &leader, const job::State &state, const wire::UpstreamSeenT &seen)
+{
+    const auto known = leader.upstreamNumbers.find(seen.id);
+    if (known == leader.upstreamNumbers.end()) {
+        return isNamedService(state, seen.service);
+    }
+    const wire::UpstreamSeenT &registered = leader.upstreams.at(known->second).registration;
+    return (seen.service == registered.service || isNamedService(state, seen.service)) && !contradictsProcess(seen, registered);
+}
+
 bool sameShape(const wire::UpstreamSeenT &a, const wire::UpstreamSeenT &b)
 {
     return a.draining == b.draining && a.cpuMillis == b.cpuMillis && a.memoryMb == b.memoryMb && a.accelerators == b.accelerators && a.labels == b.labels
@@ -225,10 +250,14 @@
     leader.upstreams.insert_or_assign(seen.number, std::move(upstreamState));
 }
 
-void handleHeartbeat(Leader &leader, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output)
+void handleHeartbeat(Leader &leader, const job::State &state, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output)
 {
     output.replies.push_back({token, {}});
     const wire::UpstreamSeenT &seen = *beat.seen;
+    if (!isOfUsableUpstream(leader, state, seen)) {
+        ++leader.counters.badHeartbeats;
+        return;
+    }
     const auto known = leader.upstreamNumbers.find(seen.id);
     if (known == leader.upstreamNumbers.end()) {
         if (leader.joining.count(seen.id) == 0 && !isOutdatedAddress(leader, seen)) {
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -1028,16 +1028,13 @@
     schedule(tickMs, *repeat);
 }
 
-void Fleet::sendHeartbeat(FakeUpstream &upstream)
+wire::UpstreamBeatT Fleet::nextHeartbeat(FakeUpstream &upstream)
 {
-    wire::RequestT request;
-    request.operation = wire::Operation::UpstreamBeat;
-    request.waitMs = 900;
-    request.beat = std::make_unique<wire::UpstreamBeatT>();
-    request.beat->sequence = ++upstream.sequence;
-    request.beat->clockMs = upstreamClock(upstream);
-    request.beat->seen = std::make_unique<wire::UpstreamSeenT>();
-    wire::UpstreamSeenT &seen = *request.beat->seen;
+    wire::UpstreamBeatT beat;
+    beat.sequence = ++upstream.sequence;
+    beat.clockMs = upstreamClock(upstream);
+    beat.seen = std::make_unique<wire::UpstreamSeenT>();
+    wire::UpstreamSeenT &seen = *beat.seen;
     seen.id = upstream.id;
     seen.born = upstream.incarnation;
     seen.address = upstream.address;
@@ -1046,9 +1043,35 @@
     seen.cpuMillis = upstream.capacity.cpuMillis;
     seen.memoryMb = upstream.capacity.memoryMb;
     seen.draining = upstream.draining;
+    return beat;
+}
+
+void Fleet::sendHeartbeat(FakeUpstream &upstream)
+{
+    wire::RequestT request;
+    request.operation = wire::Operation::UpstreamBeat;
+    request.waitMs = 900;
+    request.beat = std::make_unique<wire::UpstreamBeatT>(nextHeartbeat(upstream));
     report(upstream, std::move(request));
 }
 
+void Fleet::deliverHeartbeat(const wire::UpstreamBeatT &beat)
+{
+    const FakeHost *target = leader();
+    if (target == nullptr) {
+        return;
+    }
+    const auto request = std::make_shared<wire::RequestT>();
+    request->operation = wire::Operation::UpstreamBeat;
+    request->waitMs = 900;
+    request->beat = std::make_unique<wire::UpstreamBeatT>(beat);
+    schedule(options.networkDelayMs, [this, id = target->id, generation = target->generation, request, token = m_nextToken++] {
+        onHost(id, generation, [this, request, token](FakeHost &self, deployment::HostOutput &output) {
+            deployment::handleLocalRequest(*self.host, token, *request, now(), output);
+        });
+    });
+}
+
 /** Sends a heartbeat or a departure to a control host that the upstream reaches. */
 void Fleet::report(const FakeUpstream &upstream, wire::RequestT request)
 {
@@ -1111,6 +1134,8 @@
     body.operation = wire::Operation::PlanPut;
     body.plan = std::make_unique<wire::PlanAcceptedT>();
     body.plan->version = m_planVersion;
+    body.plan->services.push_back(std::make_unique<wire::ServiceSpecT>());
+    body.plan->services.back()->name = "s";
     for (std::uint32_t i = 0; i < queues; ++i) {
         auto queue = std::make_unique<wire::QueueSpecT>();
         queue->name = "q" + std::to_string(i);
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -168,6 +168,10 @@
     void restart(FakeUpstream &upstream);
     /** Kills an upstream and starts a new one with another id at its address. @param upstream the upstream. */
     void replace(FakeUpstream &upstream);
+    /** @param upstream the upstream. @return its next heartbeat. */
+    wire::UpstreamBeatT nextHeartbeat(FakeUpstream &upstream);
+    /** Delivers a heartbeat, of an upstream or of another sender, to the leader. @param beat the heartbeat. */
+    void deliverHeartbeat(const wire::UpstreamBeatT &beat);
     /** Ends an upstream and all its runs after it has sent its departure to a control host. @param upstream the upstream. */
     void leave(FakeUpstream &upstream);
     /** Changes the capacity of an upstream at once; its next heartbeat states it. @param upstream the upstream. @param capacity the new capacity. */
--- a/Tests/platform/bodies.cpp
+++ b/Tests/platform/bodies.cpp
@@ -65,8 +65,8 @@
 
 TEST_CASE(Platform, RejectsMalformedHeartbeats)
 {
-    const std::string beat = R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":{"cpu":1000,"memMb":10},"labels":["a","r1"],
-        "clockMs":5,"born":9,"sequence":4})";
+    const std::string beat = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,
+        "capacity":{"cpu":1000,"memMb":10,"gpu":0},"labels":["a","r1"],"clockMs":5,"born":9,"sequence":4})";
     const auto read = platform::readHeartbeat("i", beat);
     CHECK(read != nullptr);
     CHECK_EQUAL(std::uint64_t{9}, read->seen->born);
@@ -81,6 +81,33 @@
     }
 }
 
+/** A heartbeat of another sender, without some field or with one of another type, was taken for a worker's. */
+TEST_CASE(Platform, RejectsHeartbeatsWithoutAFieldOrWithOneOfAnotherType)
+{
+    nlohmann::json beat = nlohmann::json::parse(R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready",
+        "coldRemainingMs":0,"capacity":{"cpu":1000,"memMb":10,"gpu":0},"labels":["a","r1"],"clockMs":5,"sequence":4})");
+    CHECK(platform::readHeartbeat("i", beat.dump()) != nullptr); // Not every deployment sends the time of the start.
+    beat["born"] = 9;
+    const auto isRead = [](const nlohmann::json &object) {
+        return platform::readHeartbeat("i", object.dump()) != nullptr;
+    };
+    CHECK(isRead(beat));
+    for (const auto &field : beat.items()) {
+        nlohmann::json changed = beat;
+        changed[field.key()] = true;
+        CPPUNIT_ASSERT_MESSAGE(field.key() + " of another type", !isRead(changed));
+        changed.erase(field.key());
+        CPPUNIT_ASSERT_MESSAGE("without " + field.key(), field.key() == "born" || !isRead(changed));
+    }
+    for (const char *name : {"cpu", "memMb", "gpu"}) {
+        nlohmann::json changed = beat;
+        changed["capacity"].erase(name);
+        CPPUNIT_ASSERT_MESSAGE(std::string("without ") + name, !isRead(changed));
+    }
+    beat["born"] = 9.5;
+    CHECK(!isRead(beat));
+}
+
 TEST_CASE(Platform, WritesAStartAndReadsItsReply)
 {
     deployment::UpstreamCall order;
