deployment: Forget ended jobs by the leader's steady clock

Callers would see a job run a second time: a request that was sent again after the wall clock of the leader had been set ahead, or after another host had become leader whose clock was ahead, by more than three minutes found its job forgotten and was accepted as a new one; a query was answered as for an unknown job.

Cause: the age of an ended job was the leader's wall clock less the wall clock of the leader that recorded the end.

The age now counts on the steady clock of the leader from when it first saw the job ended. A change of the leader lengthens it. Ruled out: the larger of both ages (a clock set back would keep jobs for good).

Seen before the change: ARepeatedSubmissionIsOneJobAfterTheClockWasSet fails with 2 starts. EndedJobsAreForgotten passes before and after; it guards that jobs are still removed.

Hosts and upstreams of the simulated deployment have wall clocks of their own.

--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -114,15 +114,17 @@
     return first != leader.placements.end() && first->first.job == job;
 }
 
+/** Removes jobs that ended long ago. The time counts from when this leader saw the end: clocks of different hosts, and one that is set, don't shorten it. */
 void forgetJobs(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output)
 {
     constexpr std::size_t maxPerRecord = 200;
     wire::JobsForgottenT record;
     for (const auto &[number, job] : state.jobs) {
-        if (record.jobs.size() >= maxPerRecord) {
-            break;
+        if (!job::hasEnded(job.phase)) {
+            continue;
         }
-        if (job::hasEnded(job.phase) && now.wallMs > job.endedAtMs + leader.options.keepJobsMs && !hasPlacedRuns(leader, number)) {
+        const std::uint64_t sinceMs = leader.endedSinceMs.try_emplace(number, now.monotonicMs).first->second;
+        if (record.jobs.size() < maxPerRecord && now.monotonicMs > sinceMs + leader.options.keepJobsMs && !hasPlacedRuns(leader, number)) {
             record.jobs.push_back(number);
         }
     }
@@ -215,6 +217,10 @@
         answerWaiting(leader.pendingPlans, plan->version, reply, output);
         output.decisions.push_back({"plan-in-force", std::to_string(state.plan.version), "queues=" + std::to_string(state.plan.queues.size())});
         leader.placementNeeded = true;
+    } else if (const auto *forgotten = record.change.AsJobsForgotten()) {
+        for (const std::uint64_t number : forgotten->jobs) {
+            leader.endedSinceMs.erase(number);
+        }
     } else if (const auto *wave = record.change.AsWaveStarted()) {
         answerWaiting(leader.pendingWaves, wave->wave, {}, output);
     }
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -305,6 +305,7 @@
     std::unordered_map<std::string, std::string> idByAddress; ///< Id of the upstream whose heartbeat last named the address.
     std::map<std::string, wire::UpstreamBeatT> joining; ///< First heartbeat of upstreams whose record is proposed, by id.
     std::map<job::TaskRef, std::uint32_t> placements; ///< Upstream of each run that occupies capacity.
+    std::unordered_map<std::uint64_t, std::uint64_t> endedSinceMs; ///< Times at which this leader first saw ended jobs, by number of the job.
     std::set<std::uint64_t> timedJobs; ///< Jobs with due times that haven't ended.
     std::map<StepRef, WaitingStep> waiting;
     std::map<std::uint64_t, PendingCall> pendingCalls;
--- a/Tests/deployment/deployment.cpp
+++ b/Tests/deployment/deployment.cpp
@@ -53,6 +53,41 @@
     CHECK_EQUAL(std::uint64_t{1}, fleet.starts);
 }
 
+/** The leader forgot ended jobs by its wall clock. When that was set ahead, a repeated submission ran again. */
+TEST_CASE(Deployment, ARepeatedSubmissionIsOneJobAfterTheClockWasSet)
+{
+    Fleet fleet({});
+    waitUntilReady(fleet);
+    CHECK(fleet.putPlan(1, 2, false));
+    fleet.submit("/0/j1", {makeStep(1, 1000, 300)});
+    CHECK(completes(fleet, "/0/j1", 3000));
+    constexpr std::int64_t hourMs = 3600000;
+    for (fakes::FakeHost &host : fleet.hosts) {
+        host.wallAheadMs = hourMs;
+    }
+    fleet.run(3000);
+    fleet.submit("/0/j1", {makeStep(1, 1000, 300)});
+    CHECK(completes(fleet, "/0/j1", 3000));
+    CHECK_EQUAL(std::uint64_t{1}, fleet.starts);
+    CHECK_TEXT("", violationsText(fleet));
+}
+
+/** Ended jobs are forgotten in the end, by a leader's own clock. */
+TEST_CASE(Deployment, EndedJobsAreForgotten)
+{
+    Fleet fleet({});
+    waitUntilReady(fleet);
+    CHECK(fleet.putPlan(1, 2, false));
+    fleet.submit("/0/j1", {makeStep(1, 1000, 300)});
+    CHECK(completes(fleet, "/0/j1", 3000));
+    constexpr std::uint64_t statusMs = 120000;
+    fleet.run(statusMs);
+    CHECK(fleet.phase("/0/j1") == job::Phase::Completed);
+    fleet.run(statusMs);
+    CHECK(!fleet.phase("/0/j1"));
+    CHECK(fleet.leader()->host->leader.endedSinceMs.empty());
+}
+
 TEST_CASE(Deployment, RefusesBeforeTheFirstPlanAndUnknownQueuesAndJobs)
 {
     Fleet fleet({});
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -86,10 +86,15 @@
     }
 }
 
-deployment::Now Fleet::now() const
+std::uint64_t Fleet::wallMs() const
 {
     constexpr std::uint64_t wallOffset = 1700000000000;
-    return {nowMs, nowMs + wallOffset};
+    return nowMs + wallOffset;
+}
+
+deployment::Now Fleet::now(const FakeHost &host) const
+{
+    return {nowMs, wallMs() + static_cast<std::uint64_t>(host.wallAheadMs)};
 }
 
 void Fleet::traceLine(const std::string &line) const
@@ -138,7 +143,7 @@
 FakeHost *Fleet::leader()
 {
     for (FakeHost &host : hosts) {
-        if (host.alive && nowMs >= host.suspendedUntilMs && deployment::isActiveLeader(*host.host, now())) {
+        if (host.alive && nowMs >= host.suspendedUntilMs && deployment::isActiveLeader(*host.host, now(host))) {
             return &host;
         }
     }
@@ -173,7 +178,7 @@
     } else if (!host.control) {
         host.incarnation = m_random() / 2;
     }
-    host.host = deployment::makeHost(settings, host.incarnation, host.disk, m_random(), now());
+    host.host = deployment::makeHost(settings, host.incarnation, host.disk, m_random(), now(host));
     connectAll(host, true);
     const auto repeatTick = std::make_shared<std::function<void()>>();
     *repeatTick = [this, id = host.id, generation = host.generation, repeatTick] {
@@ -183,7 +188,7 @@
         }
         if (nowMs >= self.suspendedUntilMs) {
             runAction(self, [&](deployment::HostOutput &output) {
-                deployment::tick(*self.host, now(), output);
+                deployment::tick(*self.host, now(self), output);
             });
         }
         schedule(hostTickMs, *repeatTick);
@@ -249,7 +254,7 @@
         }
         const auto notify = [this](const FakeHost &who, const FakeHost &whom, const deployment::Peer &peer) {
             deliver(whom.id, who.id, [this, name = whom.id, peer](FakeHost &self, deployment::HostOutput &output) {
-                deployment::handlePeer(*self.host, name, peer, now(), output);
+                deployment::handlePeer(*self.host, name, peer, now(self), output);
             });
         };
         notify(other, host, {connected, host.control, host.incarnation, "", !host.control});
@@ -283,7 +288,7 @@
     }
     deployment::HostOutput output;
     action(output);
-    deployment::endRound(*target.host, now(), output);
+    deployment::endRound(*target.host, now(target), output);
     emit(target, std::move(output));
 }
 
@@ -334,7 +339,7 @@
             })) {
             deliver(
                 self.id, to, [this, message = std::make_shared<wire::ConsensusMessageT>(std::move(message))](FakeHost &other, deployment::HostOutput &step) {
-                    deployment::handleMessage(*other.host, *message, now(), step);
+                    deployment::handleMessage(*other.host, *message, now(other), step);
                 });
         }
     }
@@ -343,14 +348,14 @@
                 call.to,
                 [this, from = self.id, id = call.id, request = std::make_shared<wire::RequestT>(std::move(call.request))](FakeHost &other,
                                                                                                                           deployment::HostOutput &step) {
-                    deployment::handleCall(*other.host, from, id, *request, now(), step);
+                    deployment::handleCall(*other.host, from, id, *request, now(other), step);
                 });
     }
     for (deployment::HostReply &reply : output.peerReplies) {
         deliver(self.id,
                 reply.to,
                 [this, id = reply.id, body = std::make_shared<wire::ReplyT>(std::move(reply.reply))](FakeHost &other, deployment::HostOutput &step) {
-                    deployment::handleReply(*other.host, id, *body, now(), step);
+                    deployment::handleReply(*other.host, id, *body, now(other), step);
                 });
     }
     for (deployment::TokenReply &reply : output.replies) {
@@ -380,11 +385,11 @@
         target.disk.insert(target.disk.end(), order->records.begin(), order->records.end());
         for (const wire::ConsensusMessageT &message : order->sendAfterSync) {
             deliver(id, message.to, [this, message](FakeHost &other, deployment::HostOutput &step) {
-                deployment::handleMessage(*other.host, message, now(), step);
+                deployment::handleMessage(*other.host, message, now(other), step);
             });
         }
         onHost(id, generation, [this, order](FakeHost &own, deployment::HostOutput &step) {
-            deployment::handlePersisted(*own.host, order->index, order->term, now(), step);
+            deployment::handlePersisted(*own.host, order->index, order->term, now(own), step);
         });
     });
 }
@@ -409,7 +414,7 @@
             }
         }
         onHost(id, generation, [this, reply](FakeHost &own, deployment::HostOutput &step) {
-            deployment::handleAdviceReply(*own.host, reply, now(), step);
+            deployment::handleAdviceReply(*own.host, reply, now(own), step);
         });
     });
 }
@@ -419,7 +424,7 @@
     return [this, id = self.id, generation = self.generation](const deployment::UpstreamReply &reply, std::uint64_t ms) {
         schedule(ms, [this, id, generation, reply] {
             onHost(id, generation, [this, reply](FakeHost &own, deployment::HostOutput &step) {
-                deployment::handleUpstreamReply(*own.host, reply, now(), step);
+                deployment::handleUpstreamReply(*own.host, reply, now(own), step);
             });
         });
     };
@@ -435,7 +440,7 @@
                     answers.origin = origin;
                     answers.courierClockMs = nowMs - options.networkDelayMs;
                     answers.answers.push_back(std::make_unique<wire::OrderAnswerT>(deployment::encodeAnswer(reply)));
-                    deployment::handleOrderAnswers(*own.host, id, std::move(answers), now(), step);
+                    deployment::handleOrderAnswers(*own.host, id, std::move(answers), now(own), step);
                 });
             });
         });
@@ -459,7 +464,7 @@
         deliver(other.id,
                 leader,
                 [this, id = other.id, answers = std::make_shared<wire::OrderAnswersT>(std::move(answers))](FakeHost &own, deployment::HostOutput &step) {
-                    deployment::handleOrderAnswers(*own.host, id, std::move(*answers), now(), step);
+                    deployment::handleOrderAnswers(*own.host, id, std::move(*answers), now(own), step);
                 });
     });
 }
@@ -994,7 +999,7 @@
 {
     crash(upstream);
     upstream.alive = true;
-    upstream.incarnation = now().wallMs;
+    upstream.incarnation = wallMs() + static_cast<std::uint64_t>(upstream.wallAheadMs);
     upstream.bootMs = nowMs;
     upstream.sequence = 0;
     upstream.fence = 0;
@@ -1067,7 +1072,7 @@
     request->beat = std::make_unique<wire::UpstreamBeatT>(beat);
     schedule(options.networkDelayMs, [this, id = target->id, generation = target->generation, request, token = m_nextToken++] {
         onHost(id, generation, [this, request, token](FakeHost &self, deployment::HostOutput &output) {
-            deployment::handleLocalRequest(*self.host, token, *request, now(), output);
+            deployment::handleLocalRequest(*self.host, token, *request, now(self), output);
         });
     });
 }
@@ -1090,7 +1095,7 @@
                 options.networkDelayMs + lateMs,
                 [this, id = target.id, generation = target.generation, body = std::make_shared<wire::RequestT>(std::move(request)), token = m_nextToken++] {
                     onHost(id, generation, [this, body, token](FakeHost &self, deployment::HostOutput &output) {
-                        deployment::handleLocalRequest(*self.host, token, *body, now(), output);
+                        deployment::handleLocalRequest(*self.host, token, *body, now(self), output);
                     });
                 });
             return;
@@ -1119,7 +1124,7 @@
         onHost(target->id,
                target->generation,
                [this, token, held = std::make_shared<wire::RequestT>(std::move(body))](FakeHost &self, deployment::HostOutput &output) {
-                   deployment::handleLocalRequest(*self.host, token, *held, now(), output);
+                   deployment::handleLocalRequest(*self.host, token, *held, now(self), output);
                });
     }
     return token;
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -85,7 +85,8 @@
     std::vector<std::pair<std::uint64_t, FakeCapacity>> earlierCapacities; ///< Each with the time at which it changed.
     bool sendsHeartbeats = true;
     bool receivesOrders = true; ///< Otherwise orders don't arrive although heartbeats do.
-    std::uint64_t incarnation = 0;
+    std::uint64_t incarnation = 0; ///< Its start by the wall clock of its machine.
+    std::int64_t wallAheadMs = 0; ///< Difference of that clock from true time.
     std::uint64_t bootMs = 0;
     std::uint64_t sequence = 0;
     bool alive = true;
@@ -117,6 +118,7 @@
     std::set<std::string> partitionedFrom; ///< Hosts and upstreams that can't be reached.
     std::uint64_t extraDelayMs = 0; ///< Added to the one-way delay of its links to other hosts.
     std::uint64_t suspendedUntilMs = 0;
+    std::int64_t wallAheadMs = 0; ///< Difference of its wall clock from true time.
     std::vector<std::function<void()>> deferredActions; ///< Events that arrived while it was suspended.
 };
 
@@ -219,7 +221,8 @@
         }
     };
 
-    deployment::Now now() const;
+    std::uint64_t wallMs() const;
+    deployment::Now now(const FakeHost &host) const;
     void traceLine(const std::string &line) const;
     void schedule(std::uint64_t ms, std::function<void()> action);
     void onHost(const std::string &id, std::uint64_t generation, std::function<void(FakeHost &, deployment::HostOutput &)> action);
