deployment: End the runs at an address only when the address confirms it

Callers saw a task run twice: the runs of an upstream were recorded as lost, and placed again, while it went on with them.

Cause: a heartbeat with another id, a known address and a later start ended all runs of the upstreams there at once. Such a heartbeat doesn't show who has the address now: it may be late, of a process that had the address before and wasn't known or was forgotten, or the first one that a new leader gets; the starts of two processes are compared by the clocks of machines that may be ahead or set back between two lives.

Now such a heartbeat has the leader poll the other upstreams at the address at once, without renewing their leases, and they get no starts until they answer. A process that has taken the address refuses the poll (421), which ends the runs, one round trip later than before. Without an answer they end with their lease. The refusal is read before the time of the start in the reply, which is that of the process that refuses.

A start that is earlier than that of another upstream at the address rejected a new upstream for as long as the other one was registered; this holds now only while that one was in contact recently.

Ruled out: a call can't be refused by a process older than the registered one, since it is sent after that one has sent a heartbeat from the address.

Seen before the change: ALateHeartbeatOfAnEarlierProcessEndsNoRunsAtItsAddress fails with 2 starts.

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -99,7 +99,7 @@
     return endedTasks.size();
 }
 
-/** Handles the end of an upstream's process after another one took its address or id: all its runs are lost. */
+/** Handles the end of an upstream's process after another one took its address: all its runs are lost. */
 void endIncarnation(Leader &leader, UpstreamState &upstreamState, const char *cause, const Now &now, LeaderOutput &output)
 {
     if (upstreamState.gone && upstreamState.runs.empty()) {
@@ -113,7 +113,19 @@
     markRunsLost(leader, upstreamState, alwaysOverMs, now, output);
 }
 
-void endIncarnationsAt(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now, LeaderOutput &output)
+/** Has the upstream's process confirm that it still exists before it gets more runs or leases. */
+void requestConfirmation(UpstreamState &upstreamState, const Now &now)
+{
+    upstreamState.listsRead = false;
+    upstreamState.pollPending = false;
+    upstreamState.nextPollMs = now.monotonicMs;
+}
+
+/**
+ * Polls the other upstreams at the address of a heartbeat. The heartbeat alone doesn't end them: it may be late, of a process that had the address before, and
+ * the times of two starts may be of different clocks. A process that has taken the address refuses the poll.
+ */
+void confirmOthersAt(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now)
 {
     std::string &known = leader.idByAddress[seen.address];
     if (known == seen.id) {
@@ -121,16 +133,20 @@
     }
     known = seen.id;
     for (auto &[number, upstreamState] : leader.upstreams) {
-        if (upstreamState.registration.id != seen.id && upstreamState.registration.address == seen.address && upstreamState.registration.born < seen.born) {
-            endIncarnation(leader, upstreamState, "address-taken", now, output);
+        if (upstreamState.registration.id != seen.id && upstreamState.registration.address == seen.address && !upstreamState.gone) {
+            upstreamState.silent = true;
+            requestConfirmation(upstreamState, now);
         }
     }
 }
 
-bool isOutdatedAddress(const Leader &leader, const wire::UpstreamSeenT &seen)
+/** @return whether a process that was started later, and was in contact recently, has the address. */
+bool isOutdatedAddress(const Leader &leader, const wire::UpstreamSeenT &seen, const Now &now)
 {
-    return std::any_of(leader.upstreams.begin(), leader.upstreams.end(), [&seen](const auto &entry) {
-        return entry.second.registration.address == seen.address && entry.second.registration.id != seen.id && entry.second.registration.born > seen.born;
+    return std::any_of(leader.upstreams.begin(), leader.upstreams.end(), [&](const auto &entry) {
+        const UpstreamState &other = entry.second;
+        return other.registration.address == seen.address && other.registration.id != seen.id && other.registration.born > seen.born && !other.gone
+            && now.monotonicMs < other.lastContactMs + leader.options.maxSilenceMs;
     });
 }
 
@@ -260,8 +276,8 @@
     }
     const auto known = leader.upstreamNumbers.find(seen.id);
     if (known == leader.upstreamNumbers.end()) {
-        if (leader.joining.count(seen.id) == 0 && !isOutdatedAddress(leader, seen)) {
-            endIncarnationsAt(leader, seen, now, output);
+        if (leader.joining.count(seen.id) == 0 && !isOutdatedAddress(leader, seen, now)) {
+            confirmOthersAt(leader, seen, now);
             wire::UpstreamSeenT record = seen;
             record.number = 0;
             output.decisions.push_back({"upstream-joins", seen.id, "service=" + seen.service + " address=" + seen.address});
@@ -274,7 +290,7 @@
     if (seen.born < upstreamState.registration.born || (seen.born == upstreamState.registration.born && beat.sequence <= upstreamState.sequence)) {
         return; // A delayed heartbeat.
     }
-    endIncarnationsAt(leader, seen, now, output);
+    confirmOthersAt(leader, seen, now);
     const bool newIncarnation = seen.born > upstreamState.registration.born;
     if (newIncarnation) {
         applyNewIncarnation(leader, upstreamState, seen, now, output);
@@ -500,6 +516,10 @@
                      LeaderOutput &output)
 {
     upstreamState.pollPending = false;
+    if (reply.status == CallStatus::OtherIncarnation) {
+        endIncarnation(leader, upstreamState, "other-incarnation", now, output);
+        return;
+    }
     if (reply.incarnation > upstreamState.registration.born) {
         // A process started since under the id. Its capacity is known with its first heartbeat.
         wire::UpstreamSeenT seen = upstreamState.registration;
@@ -513,10 +533,6 @@
         upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
         return;
     }
-    if (reply.status == CallStatus::OtherIncarnation) {
-        endIncarnation(leader, upstreamState, "other-incarnation", now, output);
-        return;
-    }
     if (reply.status != CallStatus::Done || !reply.hasLists) {
         if (!upstreamState.silent) {
             output.decisions.push_back({"upstream-silent",
--- a/Tests/deployment/heartbeats.cpp
+++ b/Tests/deployment/heartbeats.cpp
@@ -85,3 +85,17 @@
     }
     checkRunContinues(fleet, upstream);
 }
+
+/** A late heartbeat of a process that had an upstream's address before, and was not known yet, ended the runs there if the clock of its machine was ahead. */
+TEST_CASE(Deployment, ALateHeartbeatOfAnEarlierProcessEndsNoRunsAtItsAddress)
+{
+    Fleet fleet(withUpstreams(2));
+    prepare(fleet);
+    fakes::FakeUpstream &upstream = startLongTask(fleet);
+    wire::UpstreamBeatT beat = fleet.nextHeartbeat(upstream);
+    beat.seen->id = "earlier";
+    beat.seen->born += laterMs;
+    fleet.deliverHeartbeat(beat);
+    fleet.run(1000);
+    checkRunContinues(fleet, upstream);
+}
