deployment: Use an upstream again after its clock was set back

Callers saw tasks wait: an upstream that was started again under its id, with a clock set back to before the start of the earlier process, got no runs and kept those of the earlier one until their lease was over, and was used again only after it had been forgotten (32 s later in the test).

Cause: a heartbeat or a list with an earlier start was always taken for that of an earlier process.

A poll is sent after the registered process has sent a heartbeat, so a process with another start that answers it was started since, whichever time its clock showed. It is registered, as one with a later start was. A heartbeat with an earlier start may be late; it has the leader ask the upstream at once.

Seen before the change: AnUpstreamIsUsedAgainAfterItsClockWasSetBack fails (no second start within 5 s). ALateHeartbeatOfAnEarlierProcessUnderTheIdChangesNothing passes before and after; it guards the runs of the registered process.

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -287,7 +287,11 @@
         return;
     }
     UpstreamState &upstreamState = leader.upstreams.at(known->second);
-    if (seen.born < upstreamState.registration.born || (seen.born == upstreamState.registration.born && beat.sequence <= upstreamState.sequence)) {
+    if (seen.born < upstreamState.registration.born) {
+        requestConfirmation(upstreamState, now); // Delayed, or of a process started since after the clock of its machine was set back.
+        return;
+    }
+    if (seen.born == upstreamState.registration.born && beat.sequence <= upstreamState.sequence) {
         return; // A delayed heartbeat.
     }
     confirmOthersAt(leader, seen, now);
@@ -520,19 +524,15 @@
         endIncarnation(leader, upstreamState, "other-incarnation", now, output);
         return;
     }
-    if (reply.incarnation > upstreamState.registration.born) {
-        // A process started since under the id. Its capacity is known with its first heartbeat.
+    if (reply.incarnation != 0 && reply.incarnation != upstreamState.registration.born) {
+        // The poll was sent to the registered process, so the one that answered was started since under the id, even if its time of the start is earlier by the
+        // clock of its machine. Its capacity is known with its first heartbeat.
         wire::UpstreamSeenT seen = upstreamState.registration;
         seen.born = reply.incarnation;
         seen.draining = false;
         applyNewIncarnation(leader, upstreamState, seen, now, output);
         return;
     }
-    if (reply.incarnation != 0 && reply.incarnation < upstreamState.registration.born) {
-        upstreamState.listsRead = false; // Lists of an earlier process say nothing about the registered one.
-        upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
-        return;
-    }
     if (reply.status != CallStatus::Done || !reply.hasLists) {
         if (!upstreamState.silent) {
             output.decisions.push_back({"upstream-silent",
--- a/Tests/deployment/heartbeats.cpp
+++ b/Tests/deployment/heartbeats.cpp
@@ -99,3 +99,37 @@
     fleet.run(1000);
     checkRunContinues(fleet, upstream);
 }
+
+/** The clock of an upstream's machine was set back between two processes under one id. The later one's heartbeats and lists counted as an earlier one's until
+ * the upstream was forgotten. */
+TEST_CASE(Deployment, AnUpstreamIsUsedAgainAfterItsClockWasSetBack)
+{
+    Fleet fleet(withUpstreams(1));
+    fakes::FakeUpstream &upstream = fleet.upstreams.front();
+    upstream.wallAheadMs = 60000;
+    fleet.restart(upstream);
+    prepare(fleet);
+    startLongTask(fleet);
+    upstream.wallAheadMs = 0;
+    fleet.restart(upstream);
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.starts == 2;
+        },
+        5000));
+    CHECK(completes(fleet, "/0/j1", 12000));
+    checkGuarantees(fleet);
+}
+
+/** A heartbeat of an earlier process under the same id arrived late. It only has the leader ask the registered process, whose runs continue. */
+TEST_CASE(Deployment, ALateHeartbeatOfAnEarlierProcessUnderTheIdChangesNothing)
+{
+    Fleet fleet(withUpstreams(2));
+    prepare(fleet);
+    fakes::FakeUpstream &upstream = startLongTask(fleet);
+    wire::UpstreamBeatT beat = fleet.nextHeartbeat(upstream);
+    beat.seen->born -= laterMs;
+    beat.sequence += 1000;
+    fleet.deliverHeartbeat(beat);
+    checkRunContinues(fleet, upstream);
+}
