--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -286,7 +286,7 @@
     std::uint64_t upstreamsCrashed = 0; ///< Upstreams that ended unexpectedly under runs.
     std::uint64_t runsCrashed = 0; ///< Runs that were in progress on them.
     std::uint64_t jobsGivenUp = 0; ///< Jobs that failed since too many upstreams crashed under one of their tasks.
-    std::uint64_t badHeartbeats = 0;
+    std::uint64_t badHeartbeats = 0; ///< Heartbeats that describe no upstream to use.
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
     std::uint64_t jobsCancelled = 0;
@@ -306,6 +306,7 @@
     std::unordered_map<std::string, std::string> idByAddress; ///< Id of the upstream whose heartbeat last named the address.
     std::map<std::string, wire::UpstreamBeatT> joining; ///< First heartbeat of upstreams whose record is proposed, by id.
     std::map<job::TaskRef, std::uint32_t> placements; ///< Upstream of each run that occupies capacity.
+    std::unordered_map<std::uint64_t, std::uint64_t> endedSinceMs; ///< Times at which this leader first saw ended jobs, by number of the job.
     std::set<std::uint64_t> timedJobs; ///< Jobs with due times that haven't ended.
     std::map<StepRef, WaitingStep> waiting;
     std::map<std::uint64_t, PendingCall> pendingCalls;
@@ -371,7 +372,7 @@
 // leaderupstreams.cpp
 std::uint64_t fenceFor(const Leader &leader, const upstream::UpstreamState &upstreamState);
 void addUpstream(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now);
-void handleHeartbeat(Leader &leader, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output);
+void handleHeartbeat(Leader &leader, const job::State &state, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output);
 void handleLeave(Leader &leader, Token token, const std::string &id, const Now &now, LeaderOutput &output);
 void applyUpstreamRecord(Leader &leader, const job::State &state, const wire::UpstreamSeenT &record, const Now &now);
 void tickUpstreams(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
