deployment: Repeat the start of a gang's member only after a list without it

What callers saw: a member of a gang begins again although its gang is done (TWICE).

Chain: a gang of seven runs on u0 and 2u2. The starts of three members on 2u2 aren't answered, nor are the polls of both upstreams. All members end as done at 141566. 2u2 starts anew at 142113. The leader, which knows neither the ends nor the new process (heartbeat at 142339), sends the start of a member again, and the new process carries it out at 142379. The ends on u0 are listed and acknowledged at 142779: one end as done represents the whole gang.

Cause: a start names an id and an address, and was repeated whatever the earlier copy had done. For a task by itself that is harmless: what an earlier process ended and didn't list is forgotten with it. The end of a gang is also kept by the upstreams of its other members.

Change: the start of a member is repeated only within 300 ms after lists that were requested after the start before it and don't contain the run. A gang that hadn't begun then has no end that a later process could repeat. While such a start awaits lists, polls don't wait for ends.

A new run for each unanswered start: stops the whole gang for each lost message.

Not covered: a copy that the earlier process carries out after those lists, with a gang that begins and ends and a process that is replaced, all before the repeated start arrives.

Test: Leader.AnUnansweredStartOfAGangMemberIsSentAgainOnlyAfterAListWithoutIt, failing before (the start is sent again within 400 ms without a list).

--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -72,7 +72,7 @@
         stopGang(leader, state, run.task, now, output);
         return;
     }
-    if (!upstreamState.silent) {
+    if (!upstreamState.silent && upstream::mayRepeatStart(run, now.monotonicMs)) {
         sendStart(leader, state, upstreamState, run, now, output);
     }
 }
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -152,7 +152,7 @@
     call.acknowledge = acknowledgementDue && upstream::mayAcknowledge(upstreamState, now.monotonicMs) ? upstreamState.recordedEnd : 0;
     const bool settled
         = upstreamState.listsRead && !upstreamState.silent && std::none_of(upstreamState.runs.begin(), upstreamState.runs.end(), [](const auto &entry) {
-              return entry.second.phase == RunPhase::Voiding;
+              return entry.second.phase == RunPhase::Voiding || upstream::awaitsLists(entry.second);
           });
     // A poll that acknowledges doesn't wait: while it waits, the upstream may be replaced by a process that numbers its ends anew.
     call.waitMs = settled && !acknowledgementDue && !upstreamState.runs.empty() ? leader.options.pollWaitMs : 0;
@@ -445,10 +445,13 @@
     }
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
-    for (const auto &[task, run] : upstreamState.runs) {
+    for (auto &[task, run] : upstreamState.runs) {
         if (listed.count(task) > 0) {
             continue;
         }
+        if (run.phase == RunPhase::Starting && run.orderedAtMs < poll.sentMs) {
+            run.absentMs = now.monotonicMs;
+        }
         const bool inherited = run.phase == RunPhase::Inherited;
         const bool vanished = (run.phase == RunPhase::Running || run.phase == RunPhase::Stopping) && run.startedAtMs > 0 && run.startedAtMs < poll.sentMs;
         const bool voided = run.phase == RunPhase::Voiding && run.stopAnswered && run.stopAnsweredMs < poll.sentMs;
@@ -522,7 +525,10 @@
     applyListedEnds(leader, state, upstreamState, reply.ended, now, output);
     endUnlistedRuns(leader, upstreamState, poll, reply, state, now, output);
     const bool acknowledgementDue = upstreamState.recordedEnd > upstreamState.acknowledgedEnd;
-    if (acknowledgementDue && !upstream::mayAcknowledge(upstreamState, now.monotonicMs)) {
+    const bool listsAwaited = std::any_of(upstreamState.runs.begin(), upstreamState.runs.end(), [](const auto &entry) {
+        return upstream::awaitsLists(entry.second);
+    });
+    if (listsAwaited || (acknowledgementDue && !upstream::mayAcknowledge(upstreamState, now.monotonicMs))) {
         upstreamState.nextPollMs = now.monotonicMs + unlocatedPollMs;
     }
     if (reply.running.empty() && reply.ended.empty()) {
--- a/Source/upstream/upstreamstate.cpp
+++ b/Source/upstream/upstreamstate.cpp
@@ -7,8 +7,8 @@
 namespace
 {
 constexpr std::uint64_t fullPercent = 100;
-/** Age of the lists up to which the process that returned them is taken to be the one that receives an acknowledgement: less than a process takes to be
- * replaced by another one that has begun and ended a run. */
+/** Age of the lists up to which the process that returned them is taken to be the one that receives an acknowledgement or a repeated start: less than a process
+ * takes to be replaced by another one that has begun and ended a run. */
 constexpr std::uint64_t maxConfirmationAgeMs = 300;
 /** Age of the latest contact up to which the process is taken to have received an order: a heartbeat and its delivery. */
 constexpr std::uint64_t maxContactAgeMs = 2000;
@@ -65,6 +65,16 @@
            });
 }
 
+bool mayRepeatStart(const Run &run, std::uint64_t nowMs)
+{
+    return !run.gang || run.startsSent == 0 || (run.absentMs > run.orderedAtMs && nowMs <= run.absentMs + maxConfirmationAgeMs);
+}
+
+bool awaitsLists(const Run &run)
+{
+    return run.gang && run.phase == RunPhase::Starting && run.startsSent > 0 && !run.orderPending;
+}
+
 void recordClock(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs)
 {
     if (upstreamMs > 0) {
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -44,6 +44,7 @@
     std::uint64_t orderedAtMs = 0; ///< Time of the latest start or stop.
     std::uint64_t startedAtMs = 0; ///< Time at which the upstream confirmed the run.
     std::uint32_t startsSent = 0; ///< Number of starts sent.
+    std::uint64_t absentMs = 0; ///< Time of the latest lists without it that were requested after the latest start.
     bool orderPending = false; ///< A start or stop awaits its reply.
     bool located = false; ///< A list of the registered process contained it, so no later process under the id can have begun it.
     bool stopAnswered = false; ///< The upstream confirmed a stop.
@@ -149,6 +150,16 @@
  */
 bool mayAcknowledge(const UpstreamState &upstreamState, std::uint64_t nowMs);
 
+/**
+ * Decides whether a start may be sent again. The end of one member of a gang completes the whole gang. So the start of a member may be repeated only if it
+ * hasn't begun before: a process started since would begin it again although the gang may have ended elsewhere.
+ * @param run a run whose start wasn't confirmed. @param nowMs current time. @return whether another start may be sent.
+ */
+bool mayRepeatStart(const Run &run, std::uint64_t nowMs);
+
+/** @param run a run. @return whether its start can only be repeated after lists without it. */
+bool awaitsLists(const Run &run);
+
 /** Records a clock sample. @param upstreamState the upstream state. @param upstreamMs the upstream's clock; 0 is ignored. @param nowMs time of the reply's
  * arrival. */
 void recordClock(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs);
