consensus: Resend to a far member from the first unacknowledged entry

Cause: entries without an acknowledgement were sent again from the index after the known match, which is 0 after an election.

Change: a message in flight keeps its first index, and entries are sent again from there. A member that lacks earlier entries rejects them and reports where its log ends.

--- a/Source/consensus/node.h
+++ b/Source/consensus/node.h
@@ -43,6 +43,14 @@
     Leader,
 };
 
+/** An append message with entries that a member hasn't acknowledged yet. */
+struct SentEntries
+{
+    std::uint64_t firstIndex = 0;
+    std::uint64_t lastIndex = 0;
+    std::size_t bytes = 0; ///< Payload bytes.
+};
+
 /** Replication state that a leader keeps for one other member. */
 struct Progress
 {
@@ -54,7 +62,7 @@
     std::uint64_t snapshotSentMs = 0; ///< Time at which a snapshot was last sent.
     bool snapshotPending = false; ///< A snapshot was sent and isn't acknowledged yet.
     std::uint64_t lastProgressMs = 0; ///< Time of the last acknowledgement of entries, or of the first send after none were in flight.
-    std::deque<std::pair<std::uint64_t, std::size_t>> inFlight; ///< Last index and payload bytes of each unacknowledged message.
+    std::deque<SentEntries> inFlight; ///< Unacknowledged messages in the order of their entries.
     std::size_t inFlightBytes = 0;
 };
 
--- a/Source/consensus/replication.cpp
+++ b/Source/consensus/replication.cpp
@@ -88,8 +88,8 @@
 
 void removeConfirmed(Progress &progress)
 {
-    while (!progress.inFlight.empty() && progress.inFlight.front().first <= progress.matchIndex) {
-        progress.inFlightBytes -= progress.inFlight.front().second;
+    while (!progress.inFlight.empty() && progress.inFlight.front().lastIndex <= progress.matchIndex) {
+        progress.inFlightBytes -= progress.inFlight.front().bytes;
         progress.inFlight.pop_front();
     }
 }
@@ -277,7 +277,8 @@
     } else {
         // Entries are sent without waiting for the replies to earlier ones, and again if unacknowledged for too long.
         if (!progress.inFlight.empty() && nowMs >= progress.lastProgressMs + resendAfterHeartbeats * node.timing.heartbeatMs) {
-            resendFrom(progress, std::max(progress.matchIndex, node.log.snapshotIndex) + 1, nowMs);
+            // A new leader knows no match index: a member that lacks earlier entries rejects these and reports where its log ends.
+            resendFrom(progress, std::max({progress.inFlight.front().firstIndex, progress.matchIndex + 1, node.log.snapshotIndex + 1}), nowMs);
         }
         // While a snapshot is pending, the heartbeat refers to no previous entry, so that the follower doesn't reject it.
         const std::uint64_t previous = progress.nextIndex > node.log.snapshotIndex ? progress.nextIndex - 1 : 0;
@@ -290,7 +291,7 @@
         if (!request.entries.empty()) {
             progress.lastProgressMs = progress.inFlight.empty() ? nowMs : progress.lastProgressMs;
             progress.nextIndex = request.entries.back()->index + 1;
-            progress.inFlight.emplace_back(progress.nextIndex - 1, bytes);
+            progress.inFlight.push_back({request.entries.front()->index, request.entries.back()->index, bytes});
             progress.inFlightBytes += bytes;
         }
     }
--- a/Tests/consensus/node.cpp
+++ b/Tests/consensus/node.cpp
@@ -68,6 +68,8 @@
             if (up) {
                 const auto *reply = message.body.AsAppendReply();
                 rejections[message.to] += reply != nullptr && !reply->accepted ? 1 : 0;
+                const auto *append = message.body.AsAppendRequest();
+                entriesReceived[message.to] += append != nullptr ? append->entries.size() : 0;
                 consensus::Output output;
                 consensus::receive(nodes.at(message.to), message, nowMs, output);
                 handleOutput(message.to, std::move(output));
@@ -121,6 +123,7 @@
     std::map<std::string, std::vector<wire::Bytes>> applied;
     std::map<std::string, bool> down;
     std::map<std::string, std::size_t> rejections; ///< Rejected appends that a host learnt of.
+    std::map<std::string, std::size_t> entriesReceived; ///< Entries that a host was sent, repeated ones included.
     std::deque<std::pair<std::uint64_t, wire::ConsensusMessageT>> queue; ///< Messages with the time of their arrival.
 };
 
@@ -575,3 +578,29 @@
     CHECK_EQUAL(covered, consensus::lastIndex(follower.log));
     CHECK_EQUAL(leader.term + 1, consensus::lastTerm(follower.log));
 }
+
+/** A new leader knows nothing of its followers' logs: if a reply took longer than three heartbeats, it sent the whole log again, each time. */
+TEST_CASE(Consensus, ANewLeaderDoesNotSendTheWholeLogToAFarMember)
+{
+    constexpr std::size_t entryCount = 300;
+    Group group(threeVoters());
+    group.advance(5000);
+    for (std::size_t i = 0; i < entryCount; ++i) {
+        CHECK(group.propose(1));
+    }
+    group.advance(1000);
+    const std::string first = group.leader()->self;
+    group.down[first] = true;
+    group.delayMs = 300;
+    const std::map<std::string, std::size_t> before = group.entriesReceived;
+    group.advance(10000);
+    CHECK(group.leader() != nullptr);
+    for (const auto &[host, entries] : before) {
+        if (host != first && host != group.leader()->self) {
+            CHECK(group.entriesReceived[host] - entries < 10);
+        }
+    }
+    CHECK(group.propose(2));
+    group.advance(2000);
+    CHECK_EQUAL(entryCount + 1, group.applied[group.leader()->self].size());
+}
