--- a/Tests/storage/journal.cpp
+++ b/Tests/storage/journal.cpp
@@ -7,6 +7,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <future>
@@ -94,6 +95,25 @@
     }
 }
 
+/** After a loss of power any part of the unsynced last batch may be missing, also one before a part that is present. */
+TEST_CASE(Journal, TruncatesALastBatchWithAnyPartMissing)
+{
+    const TemporaryFolder folder;
+    const wire::Bytes intact = writeThreeBatches(folder.path / "j");
+    constexpr std::size_t magicBytes = 8;
+    const std::size_t lastBatch = magicBytes + (intact.size() - magicBytes) / 3 * 2;
+    for (std::size_t first = lastBatch; first < intact.size(); first += 3) {
+        for (std::size_t end = first + 1; end <= intact.size(); end += 3) {
+            wire::Bytes torn = intact;
+            std::fill(torn.begin() + static_cast<std::ptrdiff_t>(first), torn.begin() + static_cast<std::ptrdiff_t>(end), std::uint8_t{0});
+            std::error_code error;
+            const storage::JournalContent content = storage::parseJournal(torn, error);
+            CHECK(!error);
+            CHECK(torn == intact || content.records.size() == 2);
+        }
+    }
+}
+
 TEST_CASE(Journal, RefusesDamageBeforeAValidBatch)
 {
     const TemporaryFolder folder;
