Tests: Play faulty disks, wall clocks and heartbeats of other senders

* heartbeats of other senders, of earlier processes that the leader doesn't know, and copies; one in ten is followed by such a one;
* wall clocks of hosts and of upstreams' machines that differ and are set;
* a host that is killed finds some of its unsynced writes on its disk, the last one in part, rather than none;
* a disk that completes no writes for a while;
* a suspended host completed its writes and sent what waited for them; now it stands still (SuspendedHostsConfirmNoRecords fails without it: the submission is confirmed by suspended hosts).

MixedSchedulesWithFaultyDisksClocksAndHeartbeatsKeepThePromises draws them from a generator of its own, so that the other schedules keep their draws.

--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -147,6 +147,7 @@
     std::map<std::string, std::vector<wire::StepSpecT>> steps; ///< Of the submitted jobs, by path.
     std::uint64_t controlFaultMs = 0; ///< Time at which the latest fault of a control host was over.
     std::uint64_t diskLostMs = 0; ///< Time at which the latest control host that lost its disk was back.
+    std::mt19937_64 hazards; ///< For faults that were added later.
 };
 
 /** @param schedule the schedule. @param count the number of values. @return a number below it. */
@@ -488,6 +489,40 @@
                                                                    partitionControlHost,
                                                                    loseDisk};
 
+/** The disk of a control host completes no writes for a while. */
+void stallDisk(MixedSchedule &schedule)
+{
+    fakes::FakeHost &host = schedule.fleet.hosts[schedule.hazards() % schedule.fleet.options.controlHosts];
+    const std::uint64_t ms = 50 + schedule.hazards() % 4000;
+    host.diskStalledUntilMs = schedule.fleet.nowMs + ms;
+    noteControlFault(schedule, ms);
+}
+
+/** @param schedule the schedule. @param maxMs the maximum. @return a difference of a wall clock from true time, behind or ahead. */
+std::int64_t drawClockDifference(MixedSchedule &schedule, std::int64_t maxMs)
+{
+    return static_cast<std::int64_t>(schedule.hazards() % static_cast<std::uint64_t>(2 * maxMs)) - maxMs;
+}
+
+/** Sets the wall clock of a host, at times far from true time. */
+void setHostClock(MixedSchedule &schedule)
+{
+    constexpr std::int64_t shortMs = 3000;
+    constexpr std::int64_t longMs = 1000000;
+    fakes::FakeHost &host = schedule.fleet.hosts[schedule.hazards() % schedule.fleet.hosts.size()];
+    host.wallAheadMs = drawClockDifference(schedule, schedule.hazards() % 3 == 0 ? longMs : shortMs);
+}
+
+/** Sets the wall clock of an upstream's machine, by which its next process tells its start. */
+void setUpstreamClock(MixedSchedule &schedule)
+{
+    constexpr std::int64_t maxMs = 5000;
+    schedule.fleet.upstreams[schedule.hazards() % schedule.fleet.upstreams.size()].wallAheadMs = drawClockDifference(schedule, maxMs);
+}
+
+/** Faults of disks and clocks. */
+constexpr std::array<void (*)(MixedSchedule &), 3> hazardFaults = {stallDisk, setHostClock, setUpstreamClock};
+
 /** Ends all faults. */
 void heal(MixedSchedule &schedule)
 {
@@ -509,8 +544,9 @@
     }
 }
 
-/** Runs a stream of jobs with combined faults, during which the fleet checks the guarantees. @return the violations; empty for none. */
-std::string runMixedSchedule(std::uint64_t seed)
+/** Runs a stream of jobs with combined faults, during which the fleet checks the guarantees. @param seed the seed. @param hazards whether disks, clocks and
+ * the senders of heartbeats have faults too. @return the violations; empty for none. */
+std::string runMixedSchedule(std::uint64_t seed, bool hazards)
 {
     FleetOptions options;
     const bool couriers = seed % 2 == 0;
@@ -520,7 +556,7 @@
     options.failShare = 0.06;
     options.allowedShare = 0.85;
     options.crashesBreakGangs = true;
-    MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}};
+    MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}, 0, 0, std::mt19937_64(seed)};
     Fleet &fleet = schedule.fleet;
     fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
     waitUntilReady(fleet);
@@ -532,6 +568,8 @@
     fleet.orderFaults.slowShare = 0.1;
     fleet.orderFaults.delayedReportShare = 0.03;
     fleet.hostFaults.maxHeldMs = 1500;
+    fleet.hostFaults.keepsUnsyncedWrites = hazards;
+    fleet.orderFaults.strangeReportShare = hazards ? 0.1 : 0;
     for (int round = 0; round < 30; ++round) {
         callMixedJobs(schedule);
         advance(schedule, draw(schedule, 300));
@@ -543,6 +581,9 @@
         if (draw(schedule, 40) == 0) {
             killAllControlHosts(schedule);
         }
+        if (hazards && schedule.hazards() % 2 == 0) {
+            hazardFaults[schedule.hazards() % hazardFaults.size()](schedule);
+        }
         advance(schedule, 100 + draw(schedule, 700));
     }
     heal(schedule);
@@ -586,7 +627,7 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " with couriers", std::string(), runSchedule(seed, true));
     }
     for (const std::uint64_t seed : {1266, 1373, 1884, 4428}) {
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " of combined faults", std::string(), runMixedSchedule(seed));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " of combined faults", std::string(), runMixedSchedule(seed, false));
     }
 }
 
@@ -606,5 +647,14 @@
 
 TEST_CASE(Deployment, MixedSchedulesKeepThePromises)
 {
-    runSchedules(runMixedSchedule);
+    runSchedules([](std::uint64_t seed) {
+        return runMixedSchedule(seed, false);
+    });
+}
+
+TEST_CASE(Deployment, MixedSchedulesWithFaultyDisksClocksAndHeartbeatsKeepThePromises)
+{
+    runSchedules([](std::uint64_t seed) {
+        return runMixedSchedule(seed, true);
+    });
 }
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -63,6 +63,7 @@
 Fleet::Fleet(FleetOptions fleetOptions)
     : options(fleetOptions)
     , m_random(fleetOptions.seed)
+    , m_hazards(fleetOptions.seed)
 {
     for (std::uint32_t i = 0; i < options.controlHosts + options.entryHosts; ++i) {
         FakeHost host;
@@ -202,6 +203,10 @@
     ++host.generation;
     connectAll(host, false);
     host.host.reset();
+    if (hostFaults.keepsUnsyncedWrites) {
+        keepUnsyncedWrites(host);
+    }
+    host.unsynced.clear();
     if (wipe) {
         host.disk.clear();
     }
@@ -374,26 +379,59 @@
 
 void Fleet::persist(FakeHost &self, consensus::PersistRequest order)
 {
-    schedule(options.syncMs, [this, id = self.id, generation = self.generation, order = std::make_shared<consensus::PersistRequest>(std::move(order))] {
-        FakeHost &target = host(id);
-        if (!target.alive || target.generation != generation) {
-            return;
-        }
+    self.unsynced.push_back(std::make_shared<const consensus::PersistRequest>(std::move(order)));
+    schedule(options.syncMs, [this, id = self.id, generation = self.generation] {
+        completeWrite(id, generation);
+    });
+}
+
+/** Completes the earliest unsynced write of a host. A suspended host completes none, and sends nothing. */
+void Fleet::completeWrite(const std::string &id, std::uint64_t generation)
+{
+    const FakeHost &target = host(id);
+    if (target.generation == generation && nowMs < target.diskStalledUntilMs) {
+        schedule(target.diskStalledUntilMs - nowMs, [this, id, generation] {
+            completeWrite(id, generation);
+        });
+        return;
+    }
+    onHost(id, generation, [this](FakeHost &own, deployment::HostOutput &step) {
+        const auto order = own.unsynced.front();
+        own.unsynced.pop_front();
         if (order->replace) {
-            target.disk.clear();
+            own.disk.clear();
         }
-        target.disk.insert(target.disk.end(), order->records.begin(), order->records.end());
+        own.disk.insert(own.disk.end(), order->records.begin(), order->records.end());
         for (const wire::ConsensusMessageT &message : order->sendAfterSync) {
-            deliver(id, message.to, [this, message](FakeHost &other, deployment::HostOutput &step) {
-                deployment::handleMessage(*other.host, message, now(other), step);
+            deliver(own.id, message.to, [this, message](FakeHost &other, deployment::HostOutput &otherStep) {
+                deployment::handleMessage(*other.host, message, now(other), otherStep);
             });
         }
-        onHost(id, generation, [this, order](FakeHost &own, deployment::HostOutput &step) {
-            deployment::handlePersisted(*own.host, order->index, order->term, now(own), step);
-        });
+        deployment::handlePersisted(*own.host, order->index, order->term, now(own), step);
     });
 }
 
+/** Puts some of the unsynced writes of a host that has been killed on its disk: the first ones, and part of the next, as a journal ends at a torn record. */
+void Fleet::keepUnsyncedWrites(FakeHost &host)
+{
+    std::uint64_t kept = m_hazards() % (host.unsynced.size() + 1);
+    for (const auto &order : host.unsynced) {
+        const bool whole = kept > 0;
+        if (order->replace && !whole) {
+            return;
+        }
+        if (order->replace) {
+            host.disk.clear();
+        }
+        const auto count = static_cast<std::ptrdiff_t>(whole || order->records.empty() ? order->records.size() : m_hazards() % order->records.size());
+        host.disk.insert(host.disk.end(), order->records.begin(), order->records.begin() + count);
+        if (!whole) {
+            return;
+        }
+        --kept;
+    }
+}
+
 bool Fleet::isAllowed(const std::string &step, const std::string &upstream) const
 {
     constexpr std::size_t parts = 1000;
@@ -999,7 +1037,8 @@
 {
     crash(upstream);
     upstream.alive = true;
-    upstream.incarnation = wallMs() + static_cast<std::uint64_t>(upstream.wallAheadMs);
+    const std::uint64_t born = wallMs() + static_cast<std::uint64_t>(upstream.wallAheadMs);
+    upstream.incarnation = born == upstream.incarnation ? born + 1 : born; // The time of the start tells the processes under an id apart.
     upstream.bootMs = nowMs;
     upstream.sequence = 0;
     upstream.fence = 0;
@@ -1056,8 +1095,47 @@
     wire::RequestT request;
     request.operation = wire::Operation::UpstreamBeat;
     request.waitMs = 900;
-    request.beat = std::make_unique<wire::UpstreamBeatT>(nextHeartbeat(upstream));
+    const wire::UpstreamBeatT beat = nextHeartbeat(upstream);
+    request.beat = std::make_unique<wire::UpstreamBeatT>(beat);
     report(upstream, std::move(request));
+    constexpr std::size_t parts = 10000;
+    if (static_cast<double>(m_hazards() % parts) < orderFaults.strangeReportShare * static_cast<double>(parts)) {
+        sendStrangeHeartbeat(beat);
+    }
+}
+
+/** Sends a heartbeat that resembles one of an upstream. @param beat the upstream's own one. */
+void Fleet::sendStrangeHeartbeat(wire::UpstreamBeatT beat)
+{
+    constexpr std::uint64_t spreadMs = 4000;
+    constexpr std::uint64_t sequenceStep = 50;
+    wire::UpstreamSeenT &seen = *beat.seen;
+    const std::uint64_t ownBorn = seen.born;
+    seen.born += m_hazards() % spreadMs - spreadMs / 2;
+    switch (m_hazards() % 5) {
+    case 0: // Of another sender, which nobody knows.
+        seen.id = "stranger" + std::to_string(m_hazards() % 4);
+        seen.service = "unnamed";
+        break;
+    case 1: // Of another sender under the upstream's id.
+        seen.service = "unnamed";
+        beat.sequence += sequenceStep;
+        break;
+    case 2: // Of an earlier process at the address, which the leader may not know.
+        seen.id = "earlier" + std::to_string(m_hazards() % 4);
+        break;
+    case 3: // Names another address for the same process.
+        seen.born = ownBorn;
+        seen.address = upstreams[m_hazards() % upstreams.size()].address + (m_hazards() % 2 == 0 ? "" : "0");
+        break;
+    default: // A copy that another host passed on.
+        seen.born = ownBorn;
+        break;
+    }
+    constexpr std::uint64_t maxLateMs = 2500;
+    schedule(m_hazards() % maxLateMs, [this, late = std::make_shared<wire::UpstreamBeatT>(std::move(beat))] {
+        deliverHeartbeat(*late);
+    });
 }
 
 void Fleet::deliverHeartbeat(const wire::UpstreamBeatT &beat)
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -3,8 +3,10 @@
 #include "deployment/host.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <random>
 #include <set>
@@ -27,12 +29,14 @@
     double slowShare = 0; ///< Share of the orders that take up to maxTransitMs more on their way or whose answers do.
     std::uint64_t maxTransitMs = 500;
     double delayedReportShare = 0; ///< Share of the heartbeats and departures that reach their host 2 to 12 s later.
+    double strangeReportShare = 0; ///< Share of the heartbeats after which one of another sender, of an earlier process, or a copy follows.
 };
 
 /** Faults that are injected into the messages between hosts. */
 struct HostFaults
 {
     std::uint64_t maxHeldMs = 0; ///< Messages that a partition stops are delivered when it heals unless they are older; at 0 they are dropped.
+    bool keepsUnsyncedWrites = false; ///< Whether a host that is killed may find some of the writes that weren't synced; they are in order, as in a journal.
 };
 
 /** Configuration of a fleet; times in milliseconds. */
@@ -114,6 +118,8 @@
     std::uint64_t incarnation = 0;
     std::uint64_t generation = 0; ///< Incremented at each start and stop, so that events for an earlier process are dropped.
     std::vector<wire::JournalRecordT> disk;
+    std::deque<std::shared_ptr<const consensus::PersistRequest>> unsynced; ///< Writes that aren't on the disk yet.
+    std::uint64_t diskStalledUntilMs = 0; ///< No write is completed before.
     std::optional<deployment::Host> host;
     std::set<std::string> partitionedFrom; ///< Hosts and upstreams that can't be reached.
     std::uint64_t extraDelayMs = 0; ///< Added to the one-way delay of its links to other hosts.
@@ -229,6 +235,8 @@
     void runAction(FakeHost &target, const std::function<void(deployment::HostOutput &)> &action);
     void emit(FakeHost &self, deployment::HostOutput output);
     void persist(FakeHost &self, consensus::PersistRequest order);
+    void completeWrite(const std::string &id, std::uint64_t generation);
+    void keepUnsyncedWrites(FakeHost &host);
     void connectAll(FakeHost &host, bool connected);
     bool isConnected(const std::string &a, const std::string &b);
     void deliverHeld(const std::string &from, const std::string &to);
@@ -249,6 +257,7 @@
     void tickUpstream(FakeUpstream &upstream);
     void startCompleteGang(FakeUpstream &upstream, const FakeRun &run);
     void sendHeartbeat(FakeUpstream &upstream);
+    void sendStrangeHeartbeat(wire::UpstreamBeatT beat);
     void report(const FakeUpstream &upstream, wire::RequestT request);
     void answerAdvice(FakeHost &self, const deployment::LocalAdviceRequest &request);
     void checkStart(const FakeUpstream &upstream, const deployment::UpstreamCall &call, const wire::StepSpecT &step);
@@ -259,6 +268,7 @@
     FakeHost *entryHost();
 
     std::mt19937_64 m_random;
+    std::mt19937_64 m_hazards; ///< For faults added later, so that they don't change what m_random yields.
     std::priority_queue<ScheduledAction, std::vector<ScheduledAction>, std::greater<>> m_scheduled;
     std::uint64_t m_nextSequence = 1;
     std::uint64_t m_replacements = 0; ///< Number of upstreams that came back with another id.
