deployment: Correct what another sender said before the first plan

Callers saw a job wait: before the first plan each service counts as named, so a heartbeat of another sender under an upstream's id was taken. After the plan the upstream's own heartbeats named another service for the registered process and were ignored as contradicting it.

A registration whose service the plan doesn't name is now replaced by the first heartbeat that names a service of the plan.

Not covered: such a heartbeat that also names another address leaves the upstream unused until it is forgotten, since the leader asks there.

Seen before the change: AHeartbeatOfAnUnnamedServiceBeforeTheFirstPlanIsCorrected fails (no start within 5 s).

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -172,7 +172,9 @@
         return isNamedService(state, seen.service);
     }
     const wire::UpstreamSeenT &registered = leader.upstreams.at(known->second).registration;
-    return (seen.service == registered.service || isNamedService(state, seen.service)) && !contradictsProcess(seen, registered);
+    // A service that isn't named is what another sender said before the first plan, or a plan has dropped it.
+    const bool contradicts = contradictsProcess(seen, registered) && isNamedService(state, registered.service);
+    return (seen.service == registered.service || isNamedService(state, seen.service)) && !contradicts;
 }
 
 bool sameShape(const wire::UpstreamSeenT &a, const wire::UpstreamSeenT &b)
--- a/Tests/deployment/heartbeats.cpp
+++ b/Tests/deployment/heartbeats.cpp
@@ -133,3 +133,25 @@
     fleet.deliverHeartbeat(beat);
     checkRunContinues(fleet, upstream);
 }
+
+/** Before the first plan any service may be the one that it names. What another sender said under an upstream's id then kept its own heartbeats from counting.
+ */
+TEST_CASE(Deployment, AHeartbeatOfAnUnnamedServiceBeforeTheFirstPlanIsCorrected)
+{
+    Fleet fleet(withUpstreams(1));
+    waitUntilReady(fleet);
+    wire::UpstreamBeatT beat = fleet.nextHeartbeat(fleet.upstreams.front());
+    beat.seen->service = "unnamed";
+    beat.seen->born += laterMs;
+    fleet.deliverHeartbeat(beat);
+    fleet.run(100);
+    CHECK(fleet.putPlan(1, 2, false));
+    fleet.submit("/0/j1", {makeStep(1, 1000, 500)});
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.starts == 1;
+        },
+        5000));
+    CHECK(completes(fleet, "/0/j1", 3000));
+    checkGuarantees(fleet);
+}
