deployment: Hold starts back while an acknowledgement is on its way

What callers saw: a task that is done is started again (TWICE).

The process is replaced under its id. A task that is started meanwhile begins and ends on the new process, which numbers its ends anew; then the acknowledgement arrives and makes it forget that end.

Cause: an acknowledgement waits until all starts are located, but a start didn't wait for an acknowledgement.

Change: while a poll that acknowledges awaits its reply, the start of a placed run is held back. Such polls don't wait for ends, so this is one round trip. If the poll stays unanswered the upstream is silent, the run counts as never begun and is placed elsewhere; nothing is started there before lists were read again. The reply to an earlier poll doesn't end the wait for a later one.

Ruled out: acknowledging only idle upstreams (busy ones would never be acknowledged).

Test: Leader.NoStartIsSentWhileAnAcknowledgementIsOnItsWay, failing before (the start is sent at once).

--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -59,6 +59,23 @@
     }
 }
 
+/** @return whether a run whose start was held back can't be started any more. */
+bool isUnsentInVain(const Leader &leader, const job::State &state, const UpstreamState &upstreamState, const Run &run, const Now &now)
+{
+    const bool startable = isWanted(state, run) && !run.stopRequested && mayStillStart(leader, upstreamState, now) && !upstreamState.silent;
+    return run.phase == RunPhase::Starting && run.startsSent == 0 && !startable;
+}
+
+void endUnsentRun(Leader &leader, UpstreamState &upstreamState, const Run &run, const Now &now, LeaderOutput &output)
+{
+    ++leader.counters.runsNever;
+    wire::RunsEndedT record;
+    proposeEnd(run, wire::RunEnd::Never, {}, record);
+    proposeEnds(std::move(record), now, output);
+    releaseRun(leader, upstreamState, run.task);
+    leader.placementNeeded = true;
+}
+
 void tickStarting(Leader &leader, const job::State &state, UpstreamState &upstreamState, Run &run, const Now &now, LeaderOutput &output)
 {
     if (run.stopRequested || !isWanted(state, run) || !mayStillStart(leader, upstreamState, now)) {
@@ -72,7 +89,7 @@
         stopGang(leader, state, run.task, now, output);
         return;
     }
-    if (!upstreamState.silent && upstream::mayRepeatStart(run, now.monotonicMs)) {
+    if (!upstreamState.silent && !upstreamState.acknowledgementPending && upstream::mayRepeatStart(run, now.monotonicMs)) {
         sendStart(leader, state, upstreamState, run, now, output);
     }
 }
@@ -147,7 +164,12 @@
         const bool isActive = current != nullptr && current->activeRun == placed.run();
         const bool startable = isWanted(state, run->second) && !run->second.stopRequested;
         if (startable && mayStillStart(leader, upstreamState->second, now) && !upstreamState->second.silent && upstreamState->second.clock.known) {
-            sendStart(leader, state, upstreamState->second, run->second, now, output);
+            if (upstreamState->second.acknowledgementPending) {
+                // A process that was started since could take the start and then apply the acknowledgement to its own end. Sent by tickRuns().
+                run->second.phase = RunPhase::Starting;
+            } else {
+                sendStart(leader, state, upstreamState->second, run->second, now, output);
+            }
             continue;
         }
         if (isActive) {
@@ -274,6 +296,10 @@
         }
         Run &run = found->second;
         run.orderPending = false;
+        if (isUnsentInVain(leader, state, upstreamState, run, now)) {
+            endUnsentRun(leader, upstreamState, run, now, output);
+            continue;
+        }
         if (run.phase == RunPhase::Starting) {
             tickStarting(leader, state, upstreamState, run, now, output);
         } else if (run.phase == RunPhase::Running) {
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -58,6 +58,7 @@
     upstreamState.silent = false;
     upstreamState.gone = false;
     upstreamState.pollPending = false;
+    upstreamState.acknowledgementPending = false;
     upstreamState.nextPollMs = now.monotonicMs;
     for (auto &[task, run] : upstreamState.runs) {
         if (run.phase != RunPhase::Recording) {
@@ -164,6 +165,7 @@
     leader.pendingCalls[call.id]
         = {CallKind::Poll, upstreamState.registration.number, upstreamState.registration.born, {}, 0, now.monotonicMs, call.acknowledge};
     upstreamState.pollPending = true;
+    upstreamState.acknowledgementPending = call.acknowledge > 0;
     upstreamState.pollSentMs = now.monotonicMs;
     ++leader.counters.polls;
     output.calls.push_back(std::move(call));
@@ -473,7 +475,10 @@
 void handlePollReply(Leader &leader, const job::State &state, UpstreamState &upstreamState, const PendingCall &poll, const UpstreamReply &reply, const Now &now,
                      LeaderOutput &output)
 {
-    upstreamState.pollPending = false;
+    if (poll.sentMs == upstreamState.pollSentMs) { // Otherwise a later poll is on its way.
+        upstreamState.pollPending = false;
+        upstreamState.acknowledgementPending = false;
+    }
     if (reply.incarnation > upstreamState.registration.born) {
         // A process started since under the id. Its capacity is known with its first heartbeat.
         wire::UpstreamSeenT seen = upstreamState.registration;
@@ -612,6 +617,7 @@
         const std::uint64_t pollLostMs = upstreamState.pollSentMs + leader.options.pollWaitMs + 2 * leader.options.pollTimeoutMs;
         if (upstreamState.pollPending && now.monotonicMs > pollLostMs) { // The reply was lost locally; without this no poll would renew the leases.
             upstreamState.pollPending = false;
+            upstreamState.acknowledgementPending = false;
             upstreamState.silent = true;
             ++leader.counters.pollsUnanswered;
         }
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -91,6 +91,7 @@
     std::uint64_t acknowledgedEnd = 0; ///< Number of the last end whose acknowledgement the upstream has answered.
     std::uint64_t confirmedMs = 0; ///< Time of the latest lists of the registered process.
     bool pollPending = false; ///< A poll awaits its reply.
+    bool acknowledgementPending = false; ///< The pending poll acknowledges ends.
     std::uint64_t pollSentMs = 0;
     std::uint64_t nextPollMs = 0;
     std::uint64_t renewedMs = 0; ///< Time of the latest lease renewal.
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -36,6 +36,37 @@
     step.mostPerUpstream = 1;
     return step;
 }
+
+/** Submits a job of one task and returns its start on the only upstream. */
+UpstreamCall startTask(LeaderTest &test, const std::string &id)
+{
+    submitJob(test, id, makeStep(1, 1000, 500));
+    pass(test, 40);
+    UpstreamCall start = takeCall(test, CallKind::Start, "u0");
+    CHECK(start.id != 0);
+    return start;
+}
+
+/** @return the task of a job of one task. */
+const job::Task &taskOf(const LeaderTest &test, const std::string &id)
+{
+    const job::Task *task = job::findTask(test.state, {test.state.jobNumberById.at(id), 0, 0, 0});
+    CHECK(task != nullptr);
+    return *task;
+}
+
+/** Answers the next poll of the only upstream with lists. */
+void answerNextPoll(LeaderTest &test, std::vector<ListedRun> running, std::vector<ListedEnd> ended = {})
+{
+    constexpr int maxPasses = 100;
+    UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+    for (int i = 0; poll.id == 0 && i < maxPasses; ++i) {
+        pass(test, 20);
+        poll = takeCall(test, CallKind::Poll, "u0");
+    }
+    CHECK(poll.id != 0);
+    answerPoll(test, poll, born, std::move(running), std::move(ended));
+}
 }
 
 /** Guards against schedule of combined faults 600084: the start of a gang's member was sent again, and an upstream that had started anew took it, after the
@@ -45,7 +76,7 @@
     LeaderTest test = makeLeader({"u0", "u1"});
     wire::StepSpecT gang = makeSpreadStep(2);
     gang.gang = true;
-    submitJob(test, gang);
+    submitJob(test, "j", gang);
     pass(test, 40);
     answer(test, takeCall(test, CallKind::Start, "u0"), CallStatus::Done);
     const UpstreamCall first = takeCall(test, CallKind::Start, "u1");
@@ -62,3 +93,24 @@
     CHECK(second.id != 0);
     CHECK_EQUAL(first.run, second.run);
 }
+
+/** Guards against schedule of combined faults 4462: an acknowledgement reached a process that had started anew and had begun and ended a task since the
+ * acknowledgement was sent; it forgot the end, and the task was started again. */
+TEST_CASE(Leader, NoStartIsSentWhileAnAcknowledgementIsOnItsWay)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall first = startTask(test, "first");
+    answer(test, first, CallStatus::Done);
+    answerNextPoll(test, {listedRun(first)});
+    answerNextPoll(test, {}, {listedEnd(first, 1)});
+    pass(test, 20);
+    const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+    CHECK_EQUAL(std::uint64_t{1}, poll.acknowledge);
+
+    submitJob(test, "second", makeStep(1, 1000, 500));
+    pass(test, 200);
+    CHECK_EQUAL(std::uint64_t{0}, takeCall(test, CallKind::Start, "u0").id);
+    answerPoll(test, poll, born);
+    pass(test, 40);
+    CHECK(takeCall(test, CallKind::Start, "u0").id != 0);
+}
--- a/Tests/deployment/leadertesting.h
+++ b/Tests/deployment/leadertesting.h
@@ -92,8 +92,8 @@
     collect(test, std::move(output));
 }
 
-/** Submits a job "j" of one step to the queue "/0/" and commits it. @param test the leader. @param step the step. */
-inline void submitJob(LeaderTest &test, const wire::StepSpecT &step)
+/** Accepts a job of one step. @param test the leader. @param id of the job. @param step the step. */
+inline void submitJob(LeaderTest &test, const std::string &id, const wire::StepSpecT &step)
 {
     wire::PlanAcceptedT plan;
     plan.version = test.state.plan.version + 1;
@@ -105,7 +105,7 @@
     plan.queues.push_back(std::move(queue));
     wire::JobAcceptedT job;
     job.spec = std::make_unique<wire::JobSpecT>();
-    job.spec->id = "j";
+    job.spec->id = id;
     job.spec->host = "q";
     job.spec->prefix = "/0/";
     job.spec->steps.push_back(std::make_unique<wire::StepSpecT>(step));
@@ -146,6 +146,27 @@
     deliverReply(test, std::move(reply));
 }
 
+/** Answers all calls without lists. @param test the leader. @param status the result. */
+inline void answerAll(LeaderTest &test, CallStatus status)
+{
+    for (const UpstreamCall &call : std::exchange(test.calls, {})) {
+        answer(test, call, status);
+    }
+}
+
+/** @param call a start. @param number of the end. @return the end as done of the run that it starts, as an upstream lists it. */
+inline ListedEnd listedEnd(const UpstreamCall &call, std::uint64_t number)
+{
+    ListedEnd end;
+    end.number = number;
+    end.job = call.job;
+    end.task = call.task;
+    end.task.job = 0;
+    end.run = call.run;
+    end.end = wire::RunEnd::Done;
+    return end;
+}
+
 /** @param call a start. @return the run that it starts, as an upstream lists it. */
 inline ListedRun listedRun(const UpstreamCall &call)
 {
