deployment: Use a raised fence only once it is committed, and raise it when leases are over

Two ways in which a late call of an earlier fence isn't refused. Found by reading; no schedule was seen to break on them.

* A leader raised the fence step for a process found under an id and used it for polls and stops before the record was committed.
If it isn't, the next leader (a term later, the step as stored) has the same fence, and late calls of the one before it aren't refused.
Calls now wait for the record, one commit.
Starts weren't affected: a placement is committed after the record that was proposed before it.
* Runs that were lost with the lease of their upstream left the fence as it was.
When the upstream answers again and its lease is renewed, a start that it received before may still be carried out: until its own deadline, or, if only the lease of the whole upstream counts, even later.
The step is now raised with the loss, and the next poll, which is the first call that could renew the lease, makes the upstream refuse all starts before it.

The reply to a poll with a lower fence than the current one is ignored: its lists don't exclude that an earlier call is carried out after them.

Tests, both failing before: Leader.ARaisedFenceIsNotUsedBeforeItIsCommitted (polls and stops are sent without the record), Leader.RunsThatAreLostWithTheirLeaseRaiseTheFence (the fence of the next poll is that of the start).

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -246,6 +246,7 @@
     std::uint32_t run = 0;
     std::uint64_t sentMs = 0;
     std::uint64_t acknowledge = 0; ///< Number of the last end that a poll acknowledges.
+    std::uint64_t fence = 0; ///< Fence of a poll.
 };
 
 /** Upper bounds of the buckets of a latency histogram in milliseconds, from one round trip within a region to ten seconds. */
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -134,6 +134,9 @@
 
 void sendStop(Leader &leader, const job::State &state, UpstreamState &upstreamState, Run &run, const Now &now, LeaderOutput &output)
 {
+    if (!upstream::isFenceRecorded(upstreamState)) {
+        return; // Sent by tickRuns().
+    }
     ++leader.counters.stops;
     output.calls.push_back(makeOrder(leader, state, CallKind::Stop, upstreamState, run, now));
 }
@@ -279,6 +282,9 @@
 
 void tickRuns(Leader &leader, const job::State &state, UpstreamState &upstreamState, const Now &now, LeaderOutput &output)
 {
+    if (!upstream::isFenceRecorded(upstreamState)) {
+        return;
+    }
     std::vector<job::TaskRef> due;
     for (const auto &[task, run] : upstreamState.runs) {
         const std::uint64_t pauseMs = run.phase == RunPhase::Stopping ? stopResendMs : leader.options.resendMs;
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -40,6 +40,14 @@
     output.proposals.push_back(wire::encodeChange(upstreamState.registration));
 }
 
+/** Raises the fence, so that the upstream refuses all earlier calls. No call is sent until it is committed. */
+void raiseFence(UpstreamState &upstreamState, LeaderOutput &output)
+{
+    ++upstreamState.registration.fenceStep;
+    upstreamState.listsRead = false;
+    proposeRegistration(upstreamState, output);
+}
+
 /** Handles a new process under the same id: the runs of the earlier one have ended, but a delayed start may still be carried out by the new one. */
 void applyNewIncarnation(Leader &leader, UpstreamState &upstreamState, const wire::UpstreamSeenT &seen, const Now &now, LeaderOutput &output)
 {
@@ -49,12 +57,10 @@
     upstreamState.drainingSinceMs = 0;
     upstreamState.sequence = 0;
     applyRegistration(upstreamState, seen, now);
-    ++upstreamState.registration.fenceStep; // The new process refuses calls to the earlier one that are carried out late.
     upstream::includeEarlierCalls(upstreamState);
     upstreamState.clock = {};
     upstreamState.shapeKnown = false;
     upstreamState.recordedEnd = upstreamState.proposedEnd = upstreamState.acknowledgedEnd = 0;
-    upstreamState.listsRead = false;
     upstreamState.silent = false;
     upstreamState.gone = false;
     upstreamState.pollPending = false;
@@ -69,7 +75,7 @@
         }
     }
     leader.placementNeeded = true;
-    proposeRegistration(upstreamState, output);
+    raiseFence(upstreamState, output); // The new process refuses calls to the earlier one that are carried out late.
 }
 
 /** Passed to markRunsLost() for a process that has ended: no lease of it is valid. */
@@ -163,7 +169,7 @@
     }
     call.timeoutMs = call.waitMs + leader.options.pollTimeoutMs;
     leader.pendingCalls[call.id]
-        = {CallKind::Poll, upstreamState.registration.number, upstreamState.registration.born, {}, 0, now.monotonicMs, call.acknowledge};
+        = {CallKind::Poll, upstreamState.registration.number, upstreamState.registration.born, {}, 0, now.monotonicMs, call.acknowledge, call.fence};
     upstreamState.pollPending = true;
     upstreamState.acknowledgementPending = call.acknowledge > 0;
     upstreamState.pollSentMs = now.monotonicMs;
@@ -183,6 +189,7 @@
     }
     const std::size_t lost = markRunsLost(leader, upstreamState, overMs, now, output);
     if (lost > 0) {
+        raiseFence(upstreamState, output); // A start may still be carried out once the lease is renewed.
         output.decisions.push_back(
             {"leases-over",
              upstreamState.registration.id,
@@ -192,7 +199,7 @@
 
 bool needsPoll(const UpstreamState &upstreamState, const Now &now)
 {
-    if (upstreamState.pollPending || upstreamState.gone || now.monotonicMs < upstreamState.nextPollMs) {
+    if (upstreamState.pollPending || upstreamState.gone || now.monotonicMs < upstreamState.nextPollMs || !upstream::isFenceRecorded(upstreamState)) {
         return false;
     }
     const bool recordPending = upstreamState.proposedEnd > upstreamState.recordedEnd;
@@ -218,6 +225,7 @@
     UpstreamState upstreamState;
     upstreamState.registration.number = seen.number;
     upstreamState.registration.fenceStep = seen.fenceStep;
+    upstreamState.recordedFenceStep = seen.fenceStep;
     applyRegistration(upstreamState, seen, now);
     upstreamState.registered = true;
     upstreamState.shapeKnown = true;
@@ -286,8 +294,14 @@
 
 void applyUpstreamRecord(Leader &leader, const job::State &state, const wire::UpstreamSeenT &record, const Now &now)
 {
+    const auto known = leader.upstreamNumbers.find(record.id);
+    if (known != leader.upstreamNumbers.end()) {
+        UpstreamState &upstreamState = leader.upstreams.at(known->second);
+        upstreamState.recordedFenceStep = std::max(upstreamState.recordedFenceStep, record.fenceStep);
+        return;
+    }
     const auto joining = leader.joining.find(record.id);
-    if (joining == leader.joining.end() || leader.upstreamNumbers.count(record.id) > 0) {
+    if (joining == leader.joining.end()) {
         return;
     }
     for (auto entry = state.upstreams.rbegin(); entry != state.upstreams.rend(); ++entry) {
@@ -479,6 +493,9 @@
         upstreamState.pollPending = false;
         upstreamState.acknowledgementPending = false;
     }
+    if (poll.fence != fenceFor(leader, upstreamState)) {
+        return; // Lists say what was begun and ended only once the upstream refuses earlier calls.
+    }
     if (reply.incarnation > upstreamState.registration.born) {
         // A process started since under the id. Its capacity is known with its first heartbeat.
         wire::UpstreamSeenT seen = upstreamState.registration;
@@ -506,8 +523,7 @@
         if (reply.status == CallStatus::Fenced) {
             // With the leader lease there is no newer leader, so the higher fence is of a registration that has been removed since. Without it no orders are
             // sent.
-            ++upstreamState.registration.fenceStep;
-            proposeRegistration(upstreamState, output);
+            raiseFence(upstreamState, output);
         }
         upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
         ++leader.counters.pollsUnanswered;
--- a/Source/upstream/upstreamstate.cpp
+++ b/Source/upstream/upstreamstate.cpp
@@ -75,6 +75,11 @@
     return run.gang && run.phase == RunPhase::Starting && run.startsSent > 0 && !run.orderPending;
 }
 
+bool isFenceRecorded(const UpstreamState &upstreamState)
+{
+    return upstreamState.registration.fenceStep == upstreamState.recordedFenceStep;
+}
+
 void recordClock(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs)
 {
     if (upstreamMs > 0) {
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -78,6 +78,7 @@
     std::uint64_t lastContactMs = 0; ///< Time of the latest heartbeat or poll reply.
     std::uint64_t drainingSinceMs = 0;
     bool registered = false; ///< The registration is committed.
+    std::uint32_t recordedFenceStep = 0; ///< The fence step that is committed.
     bool shapeKnown = false; ///< A heartbeat of the registered process stated its capacity and labels.
     bool listsRead = false; ///< The upstream accepted this leader's fence and its lists were read.
     bool silent = false; ///< The latest poll got no reply; further polls don't renew the lease.
@@ -161,6 +162,9 @@
 /** @param run a run. @return whether its start can only be repeated after lists without it. */
 bool awaitsLists(const Run &run);
 
+/** @param upstreamState the upstream state. @return whether its fence is committed. A later leader's fence is higher than every committed one. */
+bool isFenceRecorded(const UpstreamState &upstreamState);
+
 /** Records a clock sample. @param upstreamState the upstream state. @param upstreamMs the upstream's clock; 0 is ignored. @param nowMs time of the reply's
  * arrival. */
 void recordClock(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs);
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -114,3 +114,47 @@
     pass(test, 40);
     CHECK(takeCall(test, CallKind::Start, "u0").id != 0);
 }
+
+/** Guards against two leaders with one fence: a leader used a raised fence before its record was committed, so that the next one, a term later, didn't know of
+ * it and its own fence was the same. */
+TEST_CASE(Leader, ARaisedFenceIsNotUsedBeforeItIsCommitted)
+{
+    LeaderTest test = makeLeader({"u0"});
+    answer(test, startTask(test, "j"), CallStatus::Done);
+    pass(test, 20);
+    test.calls.clear();
+    test.commits = false;
+    deliverHeartbeat(test, "u0", born + 1000, "a-u0");
+    pass(test, 500);
+    CHECK(test.calls.empty());
+
+    LeaderTest next;
+    next.state = test.state;
+    test.commits = true;
+    commit(test);
+    pass(test, 20);
+    const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+    CHECK_EQUAL(term + 1, poll.fence);
+    next.state = test.state;
+    beginLeading(next, term + 1);
+    pass(next, 20);
+    CHECK(takeCall(next, CallKind::Poll, "u0").fence > poll.fence);
+}
+
+/** Guards against a start that is carried out after its run was lost: the fence was the same when the upstream answered again, and its lease was renewed. */
+TEST_CASE(Leader, RunsThatAreLostWithTheirLeaseRaiseTheFence)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall start = startTask(test, "j");
+    constexpr int maxPasses = 1000;
+    for (int i = 0; i < maxPasses && taskOf(test, "j").activeRun != 0; ++i) {
+        answerAll(test, CallStatus::NoAnswer);
+        pass(test, 20);
+    }
+    CHECK_EQUAL(std::uint32_t{0}, taskOf(test, "j").activeRun);
+    answerAll(test, CallStatus::NoAnswer);
+    pass(test, 1000);
+    const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+    CHECK(poll.id != 0);
+    CHECK(poll.fence > start.fence);
+}
