deployment: Keep unlocated runs when another upstream is found at their address

A heartbeat of another upstream at an address, or a 421 from there, ended all runs of the upstream that had it before, which were placed anew at once. A heartbeat may be delayed, and a call may be older than a start: if the upstream has come back under its id in between, unknown to the leader, a run that was started since is still in progress there (TWICE).

Change: a run that a list of the registered process contained is lost at once, as before: that process is over. Any other run whose start may have arrived later is stopped, and is lost once a call that was sent maxDeliveryMs or more after its last start finds the other upstream. If the upstream itself answers the stop, its heartbeat and its lists decide; without an answer the bound of the lease does, as for any silent upstream.

Cost: a run whose start was on its way or not listed yet when its upstream was replaced is placed again only with the first such answer, maxDeliveryMs or more after its start, instead of at once.

Tests: Leader.AnUnlocatedRunOutlastsAHeartbeatOfAnotherUpstreamAtItsAddress, failing before (the run is lost with the heartbeat); Leader.ALocatedRunIsLostWhenAnotherUpstreamTakesItsAddress passes before and after.

--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -32,6 +32,7 @@
                 run.longRunning = spec.longRunning;
                 run.crashes = task.crashes;
                 run.checkpoint = task.checkpoint;
+                run.startSentMs = leader.leadingSinceMs;
                 run.stopRequested = job::hasEnded(job.phase) && !task.done;
                 const auto upstreamState = leader.upstreams.find(task.upstream);
                 if (upstreamState == leader.upstreams.end()) {
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -127,6 +127,7 @@
     call.checkpoint = task == nullptr ? "" : task->checkpoint;
     call.leaseUntilMs = upstream::grantLease(upstreamState, leader.options.lease, now.monotonicMs);
     ++run.startsSent;
+    run.startSentMs = now.monotonicMs;
     run.phase = RunPhase::Starting;
     ++leader.counters.starts;
     output.calls.push_back(std::move(call));
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -1,6 +1,7 @@
 #include "deployment/leader.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace rosemaryturn::deployment::internal
@@ -78,22 +79,18 @@
     raiseFence(upstreamState, output); // The new process refuses calls to the earlier one that are carried out late.
 }
 
-/** Passed to markRunsLost() for a process that has ended: no lease of it is valid. */
-constexpr std::uint64_t alwaysOverMs = UINT64_MAX;
-
 /**
  * Marks the runs of an upstream as lost, except those without a start.
- * @param leader the leader state. @param upstreamState the upstream state. @param overMs runs that may continue until this time or later are retained. @param
- * now the current time.
- * @param output receives the effects.
+ * @param leader the leader state. @param upstreamState the upstream state. @param isOver decides whether a run is over. @param now the current time. @param
+ * output receives the effects.
  * @return the number of lost runs.
  */
-std::size_t markRunsLost(Leader &leader, UpstreamState &upstreamState, std::uint64_t overMs, const Now &now, LeaderOutput &output)
+std::size_t markRunsLost(Leader &leader, UpstreamState &upstreamState, const std::function<bool(const Run &)> &isOver, const Now &now, LeaderOutput &output)
 {
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
     for (const auto &[task, run] : upstreamState.runs) {
-        if (run.phase != RunPhase::Recording && overMs > upstream::lapseBoundOf(upstreamState, run)) {
+        if (run.phase != RunPhase::Recording && isOver(run)) {
             proposeEnd(run, wire::RunEnd::Lost, run.checkpoint, record);
             endedTasks.push_back(task);
         }
@@ -106,8 +103,13 @@
     return endedTasks.size();
 }
 
-/** Handles the end of an upstream's process after another one took its address or id: all its runs are lost. */
-void endIncarnation(Leader &leader, UpstreamState &upstreamState, const char *cause, const Now &now, LeaderOutput &output)
+/**
+ * Handles the end of an upstream's process after another one took its address: its runs are lost. A run that no list showed is stopped until a call that was
+ * sent long enough after its start finds the other upstream, since the process may have come back.
+ * @param leader the leader state. @param upstreamState the upstream state. @param cause for the log. @param sentMs time at which the call was sent that found
+ * the other upstream; 0 for a heartbeat, which may be delayed. @param now the current time. @param output receives the effects.
+ */
+void endIncarnation(Leader &leader, UpstreamState &upstreamState, const char *cause, std::uint64_t sentMs, const Now &now, LeaderOutput &output)
 {
     if (upstreamState.gone && upstreamState.runs.empty()) {
         return;
@@ -117,7 +119,18 @@
     upstreamState.gone = true;
     upstreamState.listsRead = false;
     reportCrash(leader, upstreamState, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
-    markRunsLost(leader, upstreamState, alwaysOverMs, now, output);
+    const upstream::LeaseTiming &timing = leader.options.lease;
+    const auto isOver = [&timing, sentMs](const Run &run) {
+        return !upstream::mayOutlastProcess(run, timing, sentMs);
+    };
+    markRunsLost(leader, upstreamState, isOver, now, output);
+    for (auto &[task, run] : upstreamState.runs) {
+        if (run.phase != RunPhase::Recording) {
+            run.phase = RunPhase::Voiding;
+            run.stopAnswered = false;
+            run.orderPending = false;
+        }
+    }
 }
 
 void endIncarnationsAt(Leader &leader, const wire::UpstreamSeenT &seen, const Now &now, LeaderOutput &output)
@@ -129,7 +142,7 @@
     known = seen.id;
     for (auto &[number, upstreamState] : leader.upstreams) {
         if (upstreamState.registration.id != seen.id && upstreamState.registration.address == seen.address && upstreamState.registration.born < seen.born) {
-            endIncarnation(leader, upstreamState, "address-taken", now, output);
+            endIncarnation(leader, upstreamState, "address-taken", 0, now, output);
         }
     }
 }
@@ -187,7 +200,10 @@
             upstreamState.lapsedRuns.push_back({task, run.number, evidence == upstream::CrashEvidence::Confirmed});
         }
     }
-    const std::size_t lost = markRunsLost(leader, upstreamState, overMs, now, output);
+    const auto isOver = [&upstreamState, overMs](const Run &run) {
+        return overMs > upstream::lapseBoundOf(upstreamState, run);
+    };
+    const std::size_t lost = markRunsLost(leader, upstreamState, isOver, now, output);
     if (lost > 0) {
         raiseFence(upstreamState, output); // A start may still be carried out once the lease is renewed.
         output.decisions.push_back(
@@ -510,7 +526,7 @@
         return;
     }
     if (reply.status == CallStatus::OtherIncarnation) {
-        endIncarnation(leader, upstreamState, "other-incarnation", now, output);
+        endIncarnation(leader, upstreamState, "other-incarnation", poll.sentMs, now, output);
         return;
     }
     if (reply.status != CallStatus::Done || !reply.hasLists) {
@@ -686,8 +702,9 @@
     if (reply.status == CallStatus::OtherIncarnation) {
         if (isCurrent && open.kind == CallKind::Start && run->second.startsSent == 1) {
             run->second.startsSent = 0; // Its only start was refused, so that it doesn't count as crashed.
+            run->second.startSentMs = 0;
         }
-        internal::endIncarnation(leader, upstreamState, "other-incarnation", now, output);
+        internal::endIncarnation(leader, upstreamState, "other-incarnation", open.sentMs, now, output);
         return;
     }
     if (!isCurrent) {
--- a/Source/upstream/upstreamstate.cpp
+++ b/Source/upstream/upstreamstate.cpp
@@ -80,6 +80,11 @@
     return upstreamState.registration.fenceStep == upstreamState.recordedFenceStep;
 }
 
+bool mayOutlastProcess(const Run &run, const LeaseTiming &timing, std::uint64_t sentMs)
+{
+    return !run.located && run.startSentMs > 0 && run.startSentMs + timing.maxDeliveryMs >= sentMs;
+}
+
 void recordClock(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs)
 {
     if (upstreamMs > 0) {
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -44,6 +44,7 @@
     std::uint64_t orderedAtMs = 0; ///< Time of the latest start or stop.
     std::uint64_t startedAtMs = 0; ///< Time at which the upstream confirmed the run.
     std::uint32_t startsSent = 0; ///< Number of starts sent.
+    std::uint64_t startSentMs = 0; ///< Time up to which starts were sent, for inherited runs by earlier leaders; 0 if none was.
     std::uint64_t absentMs = 0; ///< Time of the latest lists without it that were requested after the latest start.
     bool orderPending = false; ///< A start or stop awaits its reply.
     bool located = false; ///< A list of the registered process contained it, so no later process under the id can have begun it.
@@ -165,6 +166,13 @@
 /** @param upstreamState the upstream state. @return whether its fence is committed. A later leader's fence is higher than every committed one. */
 bool isFenceRecorded(const UpstreamState &upstreamState);
 
+/**
+ * Decides whether a run can be in progress although another upstream was found at the address: on a process that came back to it since and isn't known yet.
+ * @param run a run. @param timing the lease parameters. @param sentMs time at which the call was sent that found the other upstream; 0 if unknown.
+ * @return whether a start of the run may have arrived after that.
+ */
+bool mayOutlastProcess(const Run &run, const LeaseTiming &timing, std::uint64_t sentMs);
+
 /** Records a clock sample. @param upstreamState the upstream state. @param upstreamMs the upstream's clock; 0 is ignored. @param nowMs time of the reply's
  * arrival. */
 void recordClock(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs);
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -158,3 +158,33 @@
     CHECK(poll.id != 0);
     CHECK(poll.fence > start.fence);
 }
+
+/** Guards against the end of a run on a process that returned to its address: a delayed heartbeat of another upstream there stood for the end of all its runs.
+ */
+TEST_CASE(Leader, AnUnlocatedRunOutlastsAHeartbeatOfAnotherUpstreamAtItsAddress)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall start = startTask(test, "j");
+    deliverHeartbeat(test, "u1", born + 1000, "a-u0");
+    pass(test, 20);
+    CHECK_EQUAL(start.run, taskOf(test, "j").activeRun);
+
+    answerAll(test, CallStatus::OtherIncarnation); // They were sent so soon after the start that it may arrive after them.
+    CHECK_EQUAL(start.run, taskOf(test, "j").activeRun);
+    for (int i = 0; i < 100; ++i) {
+        pass(test, 20);
+        answerAll(test, CallStatus::OtherIncarnation);
+    }
+    CHECK_EQUAL(std::uint32_t{0}, taskOf(test, "j").activeRun);
+}
+
+/** A run that a list showed is over at once when another upstream has its address: only the process of that list can have begun it. */
+TEST_CASE(Leader, ALocatedRunIsLostWhenAnotherUpstreamTakesItsAddress)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall start = startTask(test, "j");
+    answer(test, start, CallStatus::Done);
+    answerNextPoll(test, {listedRun(start)});
+    deliverHeartbeat(test, "u1", born + 1000, "a-u0");
+    CHECK_EQUAL(std::uint32_t{0}, taskOf(test, "j").activeRun);
+}
