deployment: Let the later process's lists clear a run of the crash before it

What callers saw: an ordinary job is shown as failed (LOST).

Chain: u6 starts anew under its id. Starts of three tasks, sent before the leader knows, are carried out by the new process and answered at 122509. The first heartbeat of it arrives at 122594, and the three runs, answered but not listed, count as crashed with the process before. With crashes of other upstreams the tasks reach the maximum.

Cause: an answer to a start doesn't say which process took it.

Change: when another process is found under the id, a run that no list had shown is only suspected. It counts once the lists of the new process don't contain it; if they do, that process began it. The task isn't placed before that in either case.

Counting inherited runs only for tasks with an earlier crash was tried and taken back: Deployment.ACrashingTaskIsGivenUpAcrossFailOvers fails (BUDGET, runs 6 and 7 of the crashing task) and so does the case of test-upstream on crash evidence.

Test: Leader.ARunThatTheLaterProcessBeganIsNotBlamedForTheCrash, failing without the deferral (one crash counted, none expected).

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -377,7 +378,9 @@
 void tickUpstreams(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 
 // leadercrashes.cpp
-void reportCrash(Leader &leader, upstream::UpstreamState &upstreamState, const Now &now, LeaderOutput &output);
+void reportCrashedRuns(Leader &leader, const upstream::UpstreamState &upstreamState, std::span<const upstream::CrashedRun> runs, const Now &now,
+                       LeaderOutput &output);
+void reportCrash(Leader &leader, upstream::UpstreamState &upstreamState, bool listsFollow, const Now &now, LeaderOutput &output);
 void applyRunsCrashed(Leader &leader, const job::State &state, const wire::RunsCrashedT &record, const Now &now, LeaderOutput &output);
 
 // leaderruns.cpp
--- a/Source/deployment/leadercrashes.cpp
+++ b/Source/deployment/leadercrashes.cpp
@@ -1,6 +1,8 @@
 #include "deployment/leader.h"
 
+#include <algorithm>
 #include <set>
+#include <span>
 #include <utility>
 #include <vector>
 
@@ -28,42 +30,55 @@
 }
 
 /**
- * Records the runs under which an upstream's process ended unexpectedly, so that a task that crashes upstreams isn't started without end.
- * @param leader the leader state. @param upstreamState the upstream state, still with the process that ended. @param now the current time. @param output
- * receives the effects.
+ * Records runs under which an upstream's process ended unexpectedly.
+ * @param leader the leader state. @param upstreamState the upstream state. @param runs the runs. @param now the current time. @param output receives the
+ * effects.
  */
-void reportCrash(Leader &leader, UpstreamState &upstreamState, const Now &now, LeaderOutput &output)
+void reportCrashedRuns(Leader &leader, const UpstreamState &upstreamState, std::span<const CrashedRun> runs, const Now &now, LeaderOutput &output)
 {
-    const std::vector<CrashedRun> lapsedRuns = std::exchange(upstreamState.lapsedRuns, {});
-    if (upstreamState.registration.draining) {
-        return; // A planned end.
+    if (runs.empty()) {
+        return;
     }
     wire::RunsCrashedT record;
-    for (const auto &[task, run] : upstreamState.runs) {
-        const upstream::CrashEvidence evidence = upstream::crashEvidence(upstreamState, run);
-        if (evidence != upstream::CrashEvidence::None) {
-            appendRun({task, run.number, evidence == upstream::CrashEvidence::Confirmed}, upstreamState, record);
-        }
-    }
-    for (const CrashedRun &run : lapsedRuns) {
+    for (const CrashedRun &run : runs) {
         appendRun(run, upstreamState, record);
     }
-    const std::size_t counted = record.runs.size() + record.possibleRuns.size();
-    if (counted == 0) {
-        return;
-    }
-    ++leader.counters.upstreamsCrashed;
-    leader.counters.runsCrashed += counted;
+    leader.counters.runsCrashed += runs.size();
     output.decisions.push_back({"upstream-crashed",
                                 upstreamState.registration.id,
-                                "confirmed=" + std::to_string(record.runs.size()) + " possible=" + std::to_string(record.possibleRuns.size())
-                                    + " lapsed=" + std::to_string(lapsedRuns.size())});
+                                "confirmed=" + std::to_string(record.runs.size()) + " possible=" + std::to_string(record.possibleRuns.size())});
     record.atMs = now.wallMs;
     record.maxCrashes = leader.options.maxCrashes;
     record.maxPossibleCrashes = leader.options.maxPossibleCrashes;
     output.proposals.push_back(wire::encodeChange(std::move(record)));
 }
 
+/**
+ * Records the runs under which an upstream's process ended unexpectedly, so that a task that crashes upstreams isn't started without end.
+ * @param leader the leader state. @param upstreamState the upstream state, still with the process that ended. @param listsFollow whether the lists of a process
+ * started since under the id will show which of the runs that no list has shown it began itself; these are suspected until then. @param now the current time.
+ * @param output receives the effects.
+ */
+void reportCrash(Leader &leader, UpstreamState &upstreamState, bool listsFollow, const Now &now, LeaderOutput &output)
+{
+    std::vector<CrashedRun> crashed = std::exchange(upstreamState.lapsedRuns, {});
+    if (upstreamState.registration.draining) {
+        return; // A planned end.
+    }
+    bool suspected = false;
+    for (auto &[task, run] : upstreamState.runs) {
+        const upstream::CrashEvidence evidence = upstream::crashEvidence(upstreamState, run);
+        if (listsFollow && !run.located) {
+            run.suspectedCrash = std::max(run.suspectedCrash, evidence);
+            suspected = suspected || evidence != upstream::CrashEvidence::None;
+        } else if (evidence != upstream::CrashEvidence::None) {
+            crashed.push_back({task, run.number, evidence == upstream::CrashEvidence::Confirmed});
+        }
+    }
+    leader.counters.upstreamsCrashed += suspected || !crashed.empty() ? 1 : 0;
+    reportCrashedRuns(leader, upstreamState, crashed, now, output);
+}
+
 void applyRunsCrashed(Leader &leader, const job::State &state, const wire::RunsCrashedT &record, const Now &now, LeaderOutput &output)
 {
     std::set<std::uint64_t> jobs;
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -54,7 +54,7 @@
 {
     output.decisions.push_back(
         {"upstream-reborn", seen.id, "born=" + std::to_string(seen.born) + " before=" + std::to_string(upstreamState.registration.born)});
-    reportCrash(leader, upstreamState, now, output);
+    reportCrash(leader, upstreamState, true, now, output);
     upstreamState.drainingSinceMs = 0;
     upstreamState.sequence = 0;
     applyRegistration(upstreamState, seen, now);
@@ -118,7 +118,7 @@
         {"upstream-gone", upstreamState.registration.id, std::string("cause=") + cause + " runs=" + std::to_string(upstreamState.runs.size())});
     upstreamState.gone = true;
     upstreamState.listsRead = false;
-    reportCrash(leader, upstreamState, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
+    reportCrash(leader, upstreamState, false, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
     const upstream::LeaseTiming &timing = leader.options.lease;
     const auto isOver = [&timing, sentMs](const Run &run) {
         return !upstream::mayOutlastProcess(run, timing, sentMs);
@@ -367,6 +367,7 @@
     }
     Run &run = found->second;
     run.located = true;
+    run.suspectedCrash = upstream::CrashEvidence::None; // Begun by a process started since.
     markJobStarted(leader, state, task.job);
     if (!listed.checkpoint.empty()) {
         run.checkpoint = listed.checkpoint;
@@ -477,6 +478,7 @@
     }
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
+    std::vector<upstream::CrashedRun> crashed;
     for (auto &[task, run] : upstreamState.runs) {
         if (listed.count(task) > 0) {
             continue;
@@ -490,6 +492,9 @@
         if (inherited || vanished || voided) {
             const wire::RunEnd end = voided ? wire::RunEnd::Never : wire::RunEnd::Lost;
             ++(voided ? leader.counters.runsNever : leader.counters.runsLost);
+            if (run.suspectedCrash != upstream::CrashEvidence::None) {
+                crashed.push_back({task, run.number, run.suspectedCrash == upstream::CrashEvidence::Confirmed});
+            }
             proposeEnd(run, end, run.checkpoint, record);
             endedTasks.push_back(task);
         }
@@ -499,6 +504,7 @@
         releaseRun(leader, upstreamState, task);
         leader.placementNeeded = true;
     }
+    reportCrashedRuns(leader, upstreamState, crashed, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
     proposeEnds(std::move(record), now, output);
 }
 
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -28,6 +28,13 @@
     Inherited, ///< Placed by an earlier leader; its state is read from the upstream's lists.
 };
 
+/** What is known of a run when the process of its upstream has ended unexpectedly. */
+enum class CrashEvidence {
+    None, ///< It wasn't in progress.
+    Possible, ///< It was ordered while the process answered, or placed by an earlier leader; the start may not have arrived.
+    Confirmed, ///< A list showed it, or its start was answered.
+};
+
 /** A run that occupies capacity on an upstream. */
 struct Run
 {
@@ -48,6 +55,7 @@
     std::uint64_t absentMs = 0; ///< Time of the latest lists without it that were requested after the latest start.
     bool orderPending = false; ///< A start or stop awaits its reply.
     bool located = false; ///< A list of the registered process contained it, so no later process under the id can have begun it.
+    CrashEvidence suspectedCrash = CrashEvidence::None; ///< Counts once lists of the process started since don't contain the run.
     bool stopAnswered = false; ///< The upstream confirmed a stop.
     std::uint64_t stopAnsweredMs = 0; ///< Time of that confirmation.
     bool stopRequested = false; ///< The run is stopped as soon as it is known to be running.
@@ -187,13 +195,6 @@
 /** @param upstreamState the upstream state. @return whether its runs need more than its capacity, as after a reduction of it. */
 bool isOverCapacity(const UpstreamState &upstreamState);
 
-/** What is known of a run when the process of its upstream has ended unexpectedly. */
-enum class CrashEvidence {
-    None, ///< It wasn't in progress.
-    Possible, ///< It was ordered while the process answered, or placed by an earlier leader; the start may not have arrived.
-    Confirmed, ///< A list showed it, or its start was answered.
-};
-
 /**
  * Decides whether a crash of the registered process counts for a run.
  * @param upstreamState the upstream state. @param run a run of it.
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -188,3 +188,26 @@
     deliverHeartbeat(test, "u1", born + 1000, "a-u0");
     CHECK_EQUAL(std::uint32_t{0}, taskOf(test, "j").activeRun);
 }
+
+/** Guards against schedule of combined faults 2142: a run that a process had begun after its start was blamed for the end of the process before, and an
+ * ordinary job was given up. */
+TEST_CASE(Leader, ARunThatTheLaterProcessBeganIsNotBlamedForTheCrash)
+{
+    for (const bool began : {false, true}) {
+        LeaderTest test = makeLeader({"u0"});
+        const UpstreamCall start = startTask(test, "j");
+        answer(test, start, CallStatus::Done);
+        pass(test, 20);
+        test.calls.clear();
+        deliverHeartbeat(test, "u0", born + 1000, "a-u0");
+        pass(test, 200);
+        const UpstreamCall stop = takeCall(test, CallKind::Stop, "u0");
+        CHECK(stop.id != 0);
+        answer(test, stop, CallStatus::Done);
+        const std::vector<ListedRun> running = began ? std::vector{listedRun(start)} : std::vector<ListedRun>{};
+        answerPoll(test, takeCall(test, CallKind::Poll, "u0"), born + 1000, running); // Sent before the stop was answered.
+        pass(test, 200);
+        answerPoll(test, takeCall(test, CallKind::Poll, "u0"), born + 1000, running);
+        CHECK_EQUAL(began ? 0U : 1U, taskOf(test, "j").crashes);
+    }
+}
