deployment: Locate a run only by lists requested after its latest start

A run counts as located once a list of the registered process contains it. Its lease then ends by the clock of that process, and ends there may be acknowledged. If its start was repeated, the list may be older than the second copy: a process started since takes that copy, and holds the longest lease, or ends the run and applies the acknowledgement to that end (TWICE). Found by reading; no schedule was seen to break on it.

Change: with a repeated start, only lists that were requested after it locate the run. Until then the longer bound holds and no end is acknowledged, which is the next poll.

Test: Leader.AListRequestedBeforeARepeatedStartDoesNotLocateTheRun, failing before (the run is located by the earlier poll).

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -366,7 +366,8 @@
         return;
     }
     Run &run = found->second;
-    run.located = true;
+    // Another copy of the start that was sent since may reach a process that is started later.
+    run.located = run.located || run.startsSent <= 1 || poll.sentMs > run.startSentMs;
     run.suspectedCrash = upstream::CrashEvidence::None; // Begun by a process started since.
     markJobStarted(leader, state, task.job);
     if (!listed.checkpoint.empty()) {
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -211,3 +211,23 @@
         CHECK_EQUAL(began ? 0U : 1U, taskOf(test, "j").crashes);
     }
 }
+
+/** Guards against a run that counts as located on one process while a repeated start begins it on the next: its lease was reckoned on the clock of the first
+ * one, and ends of the next one could be acknowledged unseen. */
+TEST_CASE(Leader, AListRequestedBeforeARepeatedStartDoesNotLocateTheRun)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall first = startTask(test, "j");
+    pass(test, 20);
+    const UpstreamCall earlier = takeCall(test, CallKind::Poll, "u0");
+    CHECK(earlier.id != 0);
+    answer(test, first, CallStatus::NoAnswer);
+    pass(test, 200);
+    CHECK(takeCall(test, CallKind::Start, "u0").id != 0);
+
+    const upstream::Run &run = test.leader.upstreams.begin()->second.runs.begin()->second;
+    answerPoll(test, earlier, born, {listedRun(first)});
+    CHECK(!run.located);
+    answerNextPoll(test, {listedRun(first)});
+    CHECK(run.located);
+}
