--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -585,7 +585,7 @@
     for (const std::uint64_t seed : {29, 4281}) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " with couriers", std::string(), runSchedule(seed, true));
     }
-    for (const std::uint64_t seed : {1266, 1373, 1884, 4428}) {
+    for (const std::uint64_t seed : {1266, 1373, 1884, 2142, 4428, 9923, 600077, 600084}) {
         CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " of combined faults", std::string(), runMixedSchedule(seed));
     }
 }
