--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -246,6 +247,7 @@
     std::uint32_t run = 0;
     std::uint64_t sentMs = 0;
     std::uint64_t acknowledge = 0; ///< Number of the last end that a poll acknowledges.
+    std::uint64_t fence = 0; ///< Fence of a poll.
 };
 
 /** Upper bounds of the buckets of a latency histogram in milliseconds, from one round trip within a region to ten seconds. */
@@ -378,7 +380,9 @@
 void tickUpstreams(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 
 // leadercrashes.cpp
-void reportCrash(Leader &leader, upstream::UpstreamState &upstreamState, const Now &now, LeaderOutput &output);
+void reportCrashedRuns(Leader &leader, const upstream::UpstreamState &upstreamState, std::span<const upstream::CrashedRun> runs, const Now &now,
+                       LeaderOutput &output);
+void reportCrash(Leader &leader, upstream::UpstreamState &upstreamState, bool listsFollow, const Now &now, LeaderOutput &output);
 void applyRunsCrashed(Leader &leader, const job::State &state, const wire::RunsCrashedT &record, const Now &now, LeaderOutput &output);
 
 // leaderruns.cpp
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -1,6 +1,7 @@
 #include "deployment/leader.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace rosemaryturn::deployment::internal
@@ -40,24 +41,31 @@
     output.proposals.push_back(wire::encodeChange(upstreamState.registration));
 }
 
+/** Raises the fence, so that the upstream refuses all earlier calls. No call is sent until it is committed. */
+void raiseFence(UpstreamState &upstreamState, LeaderOutput &output)
+{
+    ++upstreamState.registration.fenceStep;
+    upstreamState.listsRead = false;
+    proposeRegistration(upstreamState, output);
+}
+
 /** Handles a new process under the same id: the runs of the earlier one have ended, but a delayed start may still be carried out by the new one. */
 void applyNewIncarnation(Leader &leader, UpstreamState &upstreamState, const wire::UpstreamSeenT &seen, const Now &now, LeaderOutput &output)
 {
     output.decisions.push_back(
         {"upstream-reborn", seen.id, "born=" + std::to_string(seen.born) + " before=" + std::to_string(upstreamState.registration.born)});
-    reportCrash(leader, upstreamState, now, output);
+    reportCrash(leader, upstreamState, true, now, output);
     upstreamState.drainingSinceMs = 0;
     upstreamState.sequence = 0;
     applyRegistration(upstreamState, seen, now);
-    ++upstreamState.registration.fenceStep; // The new process refuses calls to the earlier one that are carried out late.
     upstream::includeEarlierCalls(upstreamState);
     upstreamState.clock = {};
     upstreamState.shapeKnown = false;
     upstreamState.recordedEnd = upstreamState.proposedEnd = upstreamState.acknowledgedEnd = 0;
-    upstreamState.listsRead = false;
     upstreamState.silent = false;
     upstreamState.gone = false;
     upstreamState.pollPending = false;
+    upstreamState.acknowledgementPending = false;
     upstreamState.nextPollMs = now.monotonicMs;
     for (auto &[task, run] : upstreamState.runs) {
         if (run.phase != RunPhase::Recording) {
@@ -68,12 +76,9 @@
         }
     }
     leader.placementNeeded = true;
-    proposeRegistration(upstreamState, output);
+    raiseFence(upstreamState, output); // The new process refuses calls to the earlier one that are carried out late.
 }
 
-/** Passed to markRunsLost() for a process that has ended: no lease of it is valid. */
-constexpr std::uint64_t alwaysOverMs = UINT64_MAX;
-
 /** Logs a run that is ended without an end listed by its upstream, with the evidence for it. @param cause the reason. */
 void reportUnlistedEnd(const UpstreamState &upstreamState, const Run &run, const char *cause, LeaderOutput &output)
 {
@@ -86,17 +91,17 @@
 
 /**
  * Marks the runs of an upstream as lost, except those without a start.
- * @param leader the leader state. @param upstreamState the upstream state. @param overMs runs that may continue until this time or later are retained. @param
- * cause the reason, for the log. @param now the current time.
- * @param output receives the effects.
+ * @param leader the leader state. @param upstreamState the upstream state. @param isOver decides whether a run is over. @param cause the reason, for the log.
+ * @param now the current time. @param output receives the effects.
  * @return the number of lost runs.
  */
-std::size_t markRunsLost(Leader &leader, UpstreamState &upstreamState, std::uint64_t overMs, const char *cause, const Now &now, LeaderOutput &output)
+std::size_t markRunsLost(Leader &leader, UpstreamState &upstreamState, const std::function<bool(const Run &)> &isOver, const char *cause, const Now &now,
+                         LeaderOutput &output)
 {
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
     for (const auto &[task, run] : upstreamState.runs) {
-        if (run.phase != RunPhase::Recording && overMs > upstream::lapseBoundOf(upstreamState, run)) {
+        if (run.phase != RunPhase::Recording && isOver(run)) {
             reportUnlistedEnd(upstreamState, run, cause, output);
             proposeEnd(run, wire::RunEnd::Lost, run.checkpoint, record);
             endedTasks.push_back(task);
@@ -110,8 +115,13 @@
     return endedTasks.size();
 }
 
-/** Handles the end of an upstream's process after another one took its address: all its runs are lost. */
-void endIncarnation(Leader &leader, UpstreamState &upstreamState, const char *cause, const Now &now, LeaderOutput &output)
+/**
+ * Handles the end of an upstream's process after another one took its address: its runs are lost. A run that no list showed is stopped until a call that was
+ * sent long enough after its start finds the other upstream, since the process may have come back.
+ * @param leader the leader state. @param upstreamState the upstream state. @param cause for the log. @param sentMs time at which the call was sent that found
+ * the other upstream; 0 for a heartbeat, which may be delayed. @param now the current time. @param output receives the effects.
+ */
+void endIncarnation(Leader &leader, UpstreamState &upstreamState, const char *cause, std::uint64_t sentMs, const Now &now, LeaderOutput &output)
 {
     if (upstreamState.gone && upstreamState.runs.empty()) {
         return;
@@ -120,8 +130,19 @@
         {"upstream-gone", upstreamState.registration.id, std::string("cause=") + cause + " runs=" + std::to_string(upstreamState.runs.size())});
     upstreamState.gone = true;
     upstreamState.listsRead = false;
-    reportCrash(leader, upstreamState, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
-    markRunsLost(leader, upstreamState, alwaysOverMs, cause, now, output);
+    reportCrash(leader, upstreamState, false, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
+    const upstream::LeaseTiming &timing = leader.options.lease;
+    const auto isOver = [&timing, sentMs](const Run &run) {
+        return !upstream::mayOutlastProcess(run, timing, sentMs);
+    };
+    markRunsLost(leader, upstreamState, isOver, cause, now, output);
+    for (auto &[task, run] : upstreamState.runs) {
+        if (run.phase != RunPhase::Recording) {
+            run.phase = RunPhase::Voiding;
+            run.stopAnswered = false;
+            run.orderPending = false;
+        }
+    }
 }
 
 /** Has the upstream's process confirm that it still exists before it gets more runs or leases. */
@@ -216,8 +237,9 @@
     }
     call.timeoutMs = call.waitMs + leader.options.pollTimeoutMs;
     leader.pendingCalls[call.id]
-        = {CallKind::Poll, upstreamState.registration.number, upstreamState.registration.born, {}, 0, now.monotonicMs, call.acknowledge};
+        = {CallKind::Poll, upstreamState.registration.number, upstreamState.registration.born, {}, 0, now.monotonicMs, call.acknowledge, call.fence};
     upstreamState.pollPending = true;
+    upstreamState.acknowledgementPending = call.acknowledge > 0;
     upstreamState.pollSentMs = now.monotonicMs;
     ++leader.counters.polls;
     output.calls.push_back(std::move(call));
@@ -233,8 +255,12 @@
             upstreamState.lapsedRuns.push_back({task, run.number, evidence == upstream::CrashEvidence::Confirmed});
         }
     }
-    const std::size_t lost = markRunsLost(leader, upstreamState, overMs, "lease-over", now, output);
+    const auto isOver = [&upstreamState, overMs](const Run &run) {
+        return overMs > upstream::lapseBoundOf(upstreamState, run);
+    };
+    const std::size_t lost = markRunsLost(leader, upstreamState, isOver, "lease-over", now, output);
     if (lost > 0) {
+        raiseFence(upstreamState, output); // A start may still be carried out once the lease is renewed.
         output.decisions.push_back(
             {"leases-over",
              upstreamState.registration.id,
@@ -244,7 +270,7 @@
 
 bool needsPoll(const UpstreamState &upstreamState, const Now &now)
 {
-    if (upstreamState.pollPending || upstreamState.gone || now.monotonicMs < upstreamState.nextPollMs) {
+    if (upstreamState.pollPending || upstreamState.gone || now.monotonicMs < upstreamState.nextPollMs || !upstream::isFenceRecorded(upstreamState)) {
         return false;
     }
     const bool recordPending = upstreamState.proposedEnd > upstreamState.recordedEnd;
@@ -270,6 +296,7 @@
     UpstreamState upstreamState;
     upstreamState.registration.number = seen.number;
     upstreamState.registration.fenceStep = seen.fenceStep;
+    upstreamState.recordedFenceStep = seen.fenceStep;
     applyRegistration(upstreamState, seen, now);
     upstreamState.registered = true;
     upstreamState.shapeKnown = true;
@@ -346,8 +373,14 @@
 
 void applyUpstreamRecord(Leader &leader, const job::State &state, const wire::UpstreamSeenT &record, const Now &now)
 {
+    const auto known = leader.upstreamNumbers.find(record.id);
+    if (known != leader.upstreamNumbers.end()) {
+        UpstreamState &upstreamState = leader.upstreams.at(known->second);
+        upstreamState.recordedFenceStep = std::max(upstreamState.recordedFenceStep, record.fenceStep);
+        return;
+    }
     const auto joining = leader.joining.find(record.id);
-    if (joining == leader.joining.end() || leader.upstreamNumbers.count(record.id) > 0) {
+    if (joining == leader.joining.end()) {
         return;
     }
     for (auto entry = state.upstreams.rbegin(); entry != state.upstreams.rend(); ++entry) {
@@ -396,7 +429,9 @@
         return;
     }
     Run &run = found->second;
-    run.located = true;
+    // Another copy of the start that was sent since may reach a process that is started later.
+    run.located = run.located || run.startsSent <= 1 || poll.sentMs > run.startSentMs;
+    run.suspectedCrash = upstream::CrashEvidence::None; // Begun by a process started since.
     markJobStarted(leader, state, task.job);
     if (!listed.checkpoint.empty()) {
         run.checkpoint = listed.checkpoint;
@@ -514,6 +549,7 @@
     }
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
+    std::vector<upstream::CrashedRun> crashed;
     for (auto &[task, run] : upstreamState.runs) {
         if (listed.count(task) > 0) {
             continue;
@@ -528,6 +564,9 @@
             const wire::RunEnd end = voided ? wire::RunEnd::Never : wire::RunEnd::Lost;
             ++(voided ? leader.counters.runsNever : leader.counters.runsLost);
             reportUnlistedEnd(upstreamState, run, inherited ? "absent-inherited" : voided ? "absent-stopped" : "absent-running", output);
+            if (run.suspectedCrash != upstream::CrashEvidence::None) {
+                crashed.push_back({task, run.number, run.suspectedCrash == upstream::CrashEvidence::Confirmed});
+            }
             proposeEnd(run, end, run.checkpoint, record);
             endedTasks.push_back(task);
         }
@@ -537,17 +576,24 @@
         releaseRun(leader, upstreamState, task);
         leader.placementNeeded = true;
     }
+    reportCrashedRuns(leader, upstreamState, crashed, now, output); // Before the ends, so that the tasks are placed again with their crashes counted.
     proposeEnds(std::move(record), now, output);
 }
 
 void handlePollReply(Leader &leader, const job::State &state, UpstreamState &upstreamState, const PendingCall &poll, const UpstreamReply &reply, const Now &now,
                      LeaderOutput &output)
 {
-    upstreamState.pollPending = false;
+    if (poll.sentMs == upstreamState.pollSentMs) { // Otherwise a later poll is on its way.
+        upstreamState.pollPending = false;
+        upstreamState.acknowledgementPending = false;
+    }
     if (reply.status == CallStatus::OtherIncarnation) {
-        endIncarnation(leader, upstreamState, "other-incarnation", now, output);
+        endIncarnation(leader, upstreamState, "other-incarnation", poll.sentMs, now, output);
         return;
     }
+    if (poll.fence != fenceFor(leader, upstreamState)) {
+        return; // Lists say what was begun and ended only once the upstream refuses earlier calls.
+    }
     if (reply.incarnation != 0 && reply.incarnation != upstreamState.registration.born) {
         // The poll was sent to the registered process, so the one that answered was started since under the id, even if its time of the start is earlier by the
         // clock of its machine. Its capacity is known with its first heartbeat.
@@ -567,8 +613,7 @@
         if (reply.status == CallStatus::Fenced) {
             // With the leader lease there is no newer leader, so the higher fence is of a registration that has been removed since. Without it no orders are
             // sent.
-            ++upstreamState.registration.fenceStep;
-            proposeRegistration(upstreamState, output);
+            raiseFence(upstreamState, output);
         }
         upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
         ++leader.counters.pollsUnanswered;
@@ -678,6 +723,7 @@
         const std::uint64_t pollLostMs = upstreamState.pollSentMs + leader.options.pollWaitMs + 2 * leader.options.pollTimeoutMs;
         if (upstreamState.pollPending && now.monotonicMs > pollLostMs) { // The reply was lost locally; without this no poll would renew the leases.
             upstreamState.pollPending = false;
+            upstreamState.acknowledgementPending = false;
             upstreamState.silent = true;
             ++leader.counters.pollsUnanswered;
         }
@@ -730,8 +776,9 @@
     if (reply.status == CallStatus::OtherIncarnation) {
         if (isCurrent && open.kind == CallKind::Start && run->second.startsSent == 1) {
             run->second.startsSent = 0; // Its only start was refused, so that it doesn't count as crashed.
+            run->second.startSentMs = 0;
         }
-        internal::endIncarnation(leader, upstreamState, "other-incarnation", now, output);
+        internal::endIncarnation(leader, upstreamState, "other-incarnation", open.sentMs, now, output);
         return;
     }
     if (!isCurrent) {
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -28,6 +28,13 @@
     Inherited, ///< Placed by an earlier leader; its state is read from the upstream's lists.
 };
 
+/** What is known of a run when the process of its upstream has ended unexpectedly. */
+enum class CrashEvidence {
+    None, ///< It wasn't in progress.
+    Possible, ///< It was ordered while the process answered, or placed by an earlier leader; the start may not have arrived.
+    Confirmed, ///< A list showed it, or its start was answered.
+};
+
 /** A run that occupies capacity on an upstream. */
 struct Run
 {
@@ -44,9 +51,11 @@
     std::uint64_t orderedAtMs = 0; ///< Time of the latest start or stop.
     std::uint64_t startedAtMs = 0; ///< Time at which the upstream confirmed the run.
     std::uint32_t startsSent = 0; ///< Number of starts sent.
+    std::uint64_t startSentMs = 0; ///< Time up to which starts were sent, for inherited runs by earlier leaders; 0 if none was.
     std::uint64_t absentMs = 0; ///< Time of the latest lists without it that were requested after the latest start.
     bool orderPending = false; ///< A start or stop awaits its reply.
     bool located = false; ///< A list of the registered process contained it, so no later process under the id can have begun it.
+    CrashEvidence suspectedCrash = CrashEvidence::None; ///< Counts once lists of the process started since don't contain the run.
     bool stopAnswered = false; ///< The upstream confirmed a stop.
     std::uint64_t stopAnsweredMs = 0; ///< Time of that confirmation.
     bool stopRequested = false; ///< The run is stopped as soon as it is known to be running.
@@ -78,6 +87,7 @@
     std::uint64_t lastContactMs = 0; ///< Time of the latest heartbeat or poll reply.
     std::uint64_t drainingSinceMs = 0;
     bool registered = false; ///< The registration is committed.
+    std::uint32_t recordedFenceStep = 0; ///< The fence step that is committed.
     bool shapeKnown = false; ///< A heartbeat of the registered process stated its capacity and labels.
     bool listsRead = false; ///< The upstream accepted this leader's fence and its lists were read.
     bool silent = false; ///< The latest poll got no reply; further polls don't renew the lease.
@@ -91,6 +101,7 @@
     std::uint64_t acknowledgedEnd = 0; ///< Number of the last end whose acknowledgement the upstream has answered.
     std::uint64_t confirmedMs = 0; ///< Time of the latest lists of the registered process.
     bool pollPending = false; ///< A poll awaits its reply.
+    bool acknowledgementPending = false; ///< The pending poll acknowledges ends.
     std::uint64_t pollSentMs = 0;
     std::uint64_t nextPollMs = 0;
     std::uint64_t renewedMs = 0; ///< Time of the latest lease renewal.
@@ -160,6 +171,16 @@
 /** @param run a run. @return whether its start can only be repeated after lists without it. */
 bool awaitsLists(const Run &run);
 
+/** @param upstreamState the upstream state. @return whether its fence is committed. A later leader's fence is higher than every committed one. */
+bool isFenceRecorded(const UpstreamState &upstreamState);
+
+/**
+ * Decides whether a run can be in progress although another upstream was found at the address: on a process that came back to it since and isn't known yet.
+ * @param run a run. @param timing the lease parameters. @param sentMs time at which the call was sent that found the other upstream; 0 if unknown.
+ * @return whether a start of the run may have arrived after that.
+ */
+bool mayOutlastProcess(const Run &run, const LeaseTiming &timing, std::uint64_t sentMs);
+
 /** Records a clock sample. @param upstreamState the upstream state. @param upstreamMs the upstream's clock; 0 is ignored. @param nowMs time of the reply's
  * arrival. */
 void recordClock(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs);
@@ -174,13 +195,6 @@
 /** @param upstreamState the upstream state. @return whether its runs need more than its capacity, as after a reduction of it. */
 bool isOverCapacity(const UpstreamState &upstreamState);
 
-/** What is known of a run when the process of its upstream has ended unexpectedly. */
-enum class CrashEvidence {
-    None, ///< It wasn't in progress.
-    Possible, ///< It was ordered while the process answered, or placed by an earlier leader; the start may not have arrived.
-    Confirmed, ///< A list showed it, or its start was answered.
-};
-
 /**
  * Decides whether a crash of the registered process counts for a run.
  * @param upstreamState the upstream state. @param run a run of it.
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -36,6 +36,37 @@
     step.mostPerUpstream = 1;
     return step;
 }
+
+/** Submits a job of one task and returns its start on the only upstream. */
+UpstreamCall startTask(LeaderTest &test, const std::string &id)
+{
+    submitJob(test, id, makeStep(1, 1000, 500));
+    pass(test, 40);
+    UpstreamCall start = takeCall(test, CallKind::Start, "u0");
+    CHECK(start.id != 0);
+    return start;
+}
+
+/** @return the task of a job of one task. */
+const job::Task &taskOf(const LeaderTest &test, const std::string &id)
+{
+    const job::Task *task = job::findTask(test.state, {test.state.jobNumberById.at(id), 0, 0, 0});
+    CHECK(task != nullptr);
+    return *task;
+}
+
+/** Answers the next poll of the only upstream with lists. */
+void answerNextPoll(LeaderTest &test, std::vector<ListedRun> running, std::vector<ListedEnd> ended = {})
+{
+    constexpr int maxPasses = 100;
+    UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+    for (int i = 0; poll.id == 0 && i < maxPasses; ++i) {
+        pass(test, 20);
+        poll = takeCall(test, CallKind::Poll, "u0");
+    }
+    CHECK(poll.id != 0);
+    answerPoll(test, poll, born, std::move(running), std::move(ended));
+}
 }
 
 /** Guards against schedule of combined faults 600084: the start of a gang's member was sent again, and an upstream that had started anew took it, after the
@@ -45,7 +76,7 @@
     LeaderTest test = makeLeader({"u0", "u1"});
     wire::StepSpecT gang = makeSpreadStep(2);
     gang.gang = true;
-    submitJob(test, gang);
+    submitJob(test, "j", gang);
     pass(test, 40);
     answer(test, takeCall(test, CallKind::Start, "u0"), CallStatus::Done);
     const UpstreamCall first = takeCall(test, CallKind::Start, "u1");
@@ -62,3 +93,144 @@
     CHECK(second.id != 0);
     CHECK_EQUAL(first.run, second.run);
 }
+
+/** Guards against schedule of combined faults 4462: an acknowledgement reached a process that had started anew and had begun and ended a task since the
+ * acknowledgement was sent; it forgot the end, and the task was started again. */
+TEST_CASE(Leader, NoStartIsSentWhileAnAcknowledgementIsOnItsWay)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall first = startTask(test, "first");
+    answer(test, first, CallStatus::Done);
+    answerNextPoll(test, {listedRun(first)});
+    answerNextPoll(test, {}, {listedEnd(first, 1)});
+    pass(test, 20);
+    const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+    CHECK_EQUAL(std::uint64_t{1}, poll.acknowledge);
+
+    submitJob(test, "second", makeStep(1, 1000, 500));
+    pass(test, 200);
+    CHECK_EQUAL(std::uint64_t{0}, takeCall(test, CallKind::Start, "u0").id);
+    answerPoll(test, poll, born);
+    pass(test, 40);
+    CHECK(takeCall(test, CallKind::Start, "u0").id != 0);
+}
+
+/** Guards against two leaders with one fence: a leader used a raised fence before its record was committed, so that the next one, a term later, didn't know of
+ * it and its own fence was the same. */
+TEST_CASE(Leader, ARaisedFenceIsNotUsedBeforeItIsCommitted)
+{
+    LeaderTest test = makeLeader({"u0"});
+    answer(test, startTask(test, "j"), CallStatus::Done);
+    pass(test, 20);
+    test.calls.clear();
+    test.commits = false;
+    deliverHeartbeat(test, "u0", born + 1000, "a-u0");
+    pass(test, 500);
+    CHECK(test.calls.empty());
+
+    LeaderTest next;
+    next.state = test.state;
+    test.commits = true;
+    commit(test);
+    pass(test, 20);
+    const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+    CHECK_EQUAL(term + 1, poll.fence);
+    next.state = test.state;
+    beginLeading(next, term + 1);
+    pass(next, 20);
+    CHECK(takeCall(next, CallKind::Poll, "u0").fence > poll.fence);
+}
+
+/** Guards against a start that is carried out after its run was lost: the fence was the same when the upstream answered again, and its lease was renewed. */
+TEST_CASE(Leader, RunsThatAreLostWithTheirLeaseRaiseTheFence)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall start = startTask(test, "j");
+    constexpr int maxPasses = 1000;
+    for (int i = 0; i < maxPasses && taskOf(test, "j").activeRun != 0; ++i) {
+        answerAll(test, CallStatus::NoAnswer);
+        pass(test, 20);
+    }
+    CHECK_EQUAL(std::uint32_t{0}, taskOf(test, "j").activeRun);
+    answerAll(test, CallStatus::NoAnswer);
+    pass(test, 1000);
+    const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+    CHECK(poll.id != 0);
+    CHECK(poll.fence > start.fence);
+}
+
+/** Guards against the end of a run on a process that returned to its address: a delayed heartbeat of another upstream there stood for the end of all its runs.
+ */
+TEST_CASE(Leader, AnUnlocatedRunOutlastsAHeartbeatOfAnotherUpstreamAtItsAddress)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall start = startTask(test, "j");
+    deliverHeartbeat(test, "u1", born + 1000, "a-u0");
+    pass(test, 20);
+    CHECK_EQUAL(start.run, taskOf(test, "j").activeRun);
+
+    answerAll(test, CallStatus::OtherIncarnation); // They were sent so soon after the start that it may arrive after them.
+    CHECK_EQUAL(start.run, taskOf(test, "j").activeRun);
+    for (int i = 0; i < 100; ++i) {
+        pass(test, 20);
+        answerAll(test, CallStatus::OtherIncarnation);
+    }
+    CHECK_EQUAL(std::uint32_t{0}, taskOf(test, "j").activeRun);
+}
+
+/** A run that a list showed is over at once when another upstream has its address: only the process of that list can have begun it. */
+TEST_CASE(Leader, ALocatedRunIsLostWhenAnotherUpstreamTakesItsAddress)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall start = startTask(test, "j");
+    answer(test, start, CallStatus::Done);
+    answerNextPoll(test, {listedRun(start)});
+    deliverHeartbeat(test, "u1", born + 1000, "a-u0");
+    CHECK_EQUAL(start.run, taskOf(test, "j").activeRun); // The heartbeat may be delayed.
+    pass(test, 20);
+    answer(test, takeCall(test, CallKind::Poll, "u0"), CallStatus::OtherIncarnation);
+    CHECK_EQUAL(std::uint32_t{0}, taskOf(test, "j").activeRun);
+}
+
+/** Guards against schedule of combined faults 2142: a run that a process had begun after its start was blamed for the end of the process before, and an
+ * ordinary job was given up. */
+TEST_CASE(Leader, ARunThatTheLaterProcessBeganIsNotBlamedForTheCrash)
+{
+    for (const bool began : {false, true}) {
+        LeaderTest test = makeLeader({"u0"});
+        const UpstreamCall start = startTask(test, "j");
+        answer(test, start, CallStatus::Done);
+        pass(test, 20);
+        test.calls.clear();
+        deliverHeartbeat(test, "u0", born + 1000, "a-u0");
+        pass(test, 200);
+        const UpstreamCall stop = takeCall(test, CallKind::Stop, "u0");
+        CHECK(stop.id != 0);
+        answer(test, stop, CallStatus::Done);
+        const std::vector<ListedRun> running = began ? std::vector{listedRun(start)} : std::vector<ListedRun>{};
+        answerPoll(test, takeCall(test, CallKind::Poll, "u0"), born + 1000, running); // Sent before the stop was answered.
+        pass(test, 200);
+        answerPoll(test, takeCall(test, CallKind::Poll, "u0"), born + 1000, running);
+        CHECK_EQUAL(began ? 0U : 1U, taskOf(test, "j").crashes);
+    }
+}
+
+/** Guards against a run that counts as located on one process while a repeated start begins it on the next: its lease was reckoned on the clock of the first
+ * one, and ends of the next one could be acknowledged unseen. */
+TEST_CASE(Leader, AListRequestedBeforeARepeatedStartDoesNotLocateTheRun)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall first = startTask(test, "j");
+    pass(test, 20);
+    const UpstreamCall earlier = takeCall(test, CallKind::Poll, "u0");
+    CHECK(earlier.id != 0);
+    answer(test, first, CallStatus::NoAnswer);
+    pass(test, 200);
+    CHECK(takeCall(test, CallKind::Start, "u0").id != 0);
+
+    const upstream::Run &run = test.leader.upstreams.begin()->second.runs.begin()->second;
+    answerPoll(test, earlier, born, {listedRun(first)});
+    CHECK(!run.located);
+    answerNextPoll(test, {listedRun(first)});
+    CHECK(run.located);
+}
