deployment: Report an elected leader that is not ready

A group that had elected a leader stood still for 14 s, and no log line told why. Each second the leader now reports the first index of its term, its last, synced and committed index, and match and next index of each member until it is ready.

--- a/Source/deployment/host.cpp
+++ b/Source/deployment/host.cpp
@@ -11,6 +11,31 @@
 {
 namespace
 {
+/** Interval between reports of an elected leader that can't act yet. */
+constexpr std::uint64_t notReadyIntervalMs = 1000;
+
+/** Reports an elected leader that hasn't committed the start of its term yet, with the replication state of the members. */
+void reportNotReady(Host &host, const Now &now, HostOutput &output)
+{
+    const consensus::Node &node = *host.node;
+    if (node.role != consensus::Role::Leader || consensus::isReadyLeader(node)) {
+        host.nextNotReadyMs = now.monotonicMs + notReadyIntervalMs;
+        return;
+    }
+    if (now.monotonicMs < host.nextNotReadyMs) {
+        return;
+    }
+    host.nextNotReadyMs = now.monotonicMs + notReadyIntervalMs;
+    std::string members;
+    for (const auto &[name, progress] : node.progress) {
+        members += (members.empty() ? "" : ",") + name + ":" + std::to_string(progress.matchIndex) + ":" + std::to_string(progress.nextIndex);
+    }
+    output.decisions.push_back({"leader-not-ready",
+                                std::to_string(node.term),
+                                "first=" + std::to_string(node.termStartIndex) + " last=" + std::to_string(consensus::lastIndex(node.log))
+                                    + " synced=" + std::to_string(node.persisted) + " commit=" + std::to_string(node.commit) + " members=" + members});
+}
+
 /** @return whether every member with known progress has the log up to the index, so that none needs the whole snapshot. */
 bool membersHaveLog(const consensus::Node &node, std::uint64_t index)
 {
@@ -146,6 +171,7 @@
         consensus::Output step;
         consensus::tick(*host.node, now.monotonicMs, step);
         internal::applyNodeOutput(host, std::move(step), now, output);
+        reportNotReady(host, now, output);
         internal::repairMembership(host, now, output);
         // Without the leader lease another host may already lead: no orders are sent and no lease is renewed.
         if (isActiveLeader(host, now)) {
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -135,6 +135,7 @@
     std::uint64_t reportedTerm = 0; ///< Highest term for which a leader was reported.
     std::uint64_t nextTopologyMs = 0;
     std::uint64_t nextRepairMs = 0;
+    std::uint64_t nextNotReadyMs = 0; ///< When an elected leader that can't act yet is reported next.
     std::uint64_t lastRepairCommit = 0; ///< Committed index at the previous check of the membership; 0 before the first one as leader.
     std::map<Token, RoutedRequest> routed;
     std::map<std::uint64_t, Token> calls; ///< Routed requests, by call id.
--- a/Tests/deployment/membership.cpp
+++ b/Tests/deployment/membership.cpp
@@ -1,4 +1,5 @@
 #include "fakes/fleet.h"
+#include "storage/identity.h"
 #include "testing.h"
 
 #include <algorithm>
@@ -452,3 +453,27 @@
     CHECK(votersOf(fleet) == livingControlHosts(fleet));
     CHECK_EQUAL(std::size_t{5}, votersOf(fleet).size());
 }
+
+/** A group that had elected a leader stood still, and no log told that the leader lacked the commit of its first entry. */
+TEST_CASE(Membership, AnElectedLeaderThatIsNotReadyIsReported)
+{
+    deployment::HostOptions options;
+    options.host = "c0";
+    options.control = true;
+    deployment::Now now{10000, 10000};
+    deployment::Host host = deployment::makeHost(options, storage::foundingIncarnation, {}, 1, now);
+    consensus::initialise(*host.node, deployment::foundingMembership({"c0", "c1"}), now.monotonicMs);
+    deployment::HostOutput output;
+    deployment::tick(host, now, output);
+    host.node->role = consensus::Role::Leader;
+    host.node->termStartIndex = 5;
+    host.node->progress["c1"].nextIndex = 4;
+    for (std::uint64_t passed = 0; passed < 2500; passed += stepMs) {
+        host.node->nextRoundMs = now.monotonicMs + 1000;
+        deployment::tick(host, now, output);
+        now.monotonicMs += stepMs;
+    }
+    CHECK_EQUAL(std::size_t{2}, output.decisions.size());
+    CHECK_TEXT("leader-not-ready", output.decisions[0].name);
+    CHECK_TEXT("first=5 last=0 synced=0 commit=0 members=c1:0:4", output.decisions[0].detail);
+}
