deployment: Test that a leader without its lease appends nothing

The lead asked whether a leader whose lease is over goes on appending proposals, as its successor has to replace these entries. In the stand-in it doesn't: with 40 jobs under way the log of a leader that is cut off doesn't grow from the end of its lease on.

--- a/Tests/deployment/membership.cpp
+++ b/Tests/deployment/membership.cpp
@@ -477,3 +477,39 @@
     CHECK_TEXT("leader-not-ready", output.decisions[0].name);
     CHECK_TEXT("first=5 last=0 synced=0 commit=0 members=c1:0:4", output.decisions[0].detail);
 }
+
+/** Entries that a leader appends while it is cut off from its group are in the way of the next leader: there must be none once its lease is over. */
+TEST_CASE(Membership, ALeaderWithoutItsLeaseAppendsNothing)
+{
+    Fleet fleet({});
+    CHECK(waitForVoters(fleet, {"c0", "c1", "c2"}, 10000));
+    fleet.run(3000);
+    CHECK(fleet.putPlan(1, 2, false));
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 40; ++i) {
+        jobs.push_back("/0/j" + std::to_string(i));
+        fleet.submit(jobs.back(), {makeStep(1, 500, 1000 + 100 * i)});
+    }
+    fleet.run(2000);
+    const std::string cutOff = fleet.leader()->id;
+    silence(fleet, cutOff, Silence::CutOff, 0);
+    const consensus::Node &node = *fleet.host(cutOff).host->node;
+    CHECK(fleet.runUntil(
+        [&] {
+            return !consensus::holdsLease(node, fleet.nowMs);
+        },
+        electionMs));
+    CHECK(node.role == consensus::Role::Leader);
+    const std::uint64_t last = consensus::lastIndex(node.log);
+    fleet.run(5000);
+    CHECK_EQUAL(last, consensus::lastIndex(node.log));
+    endSilence(fleet, cutOff, Silence::CutOff);
+    for (const std::string &path : jobs) {
+        CHECK(fleet.runUntil(
+            [&] {
+                return fleet.phase(path) == job::Phase::Completed;
+            },
+            60000));
+    }
+    CHECK_TEXT("", violationsText(fleet));
+}
