--- a/Tests/deployment/membership.cpp
+++ b/Tests/deployment/membership.cpp
@@ -1,4 +1,5 @@
 #include "fakes/fleet.h"
+#include "storage/identity.h"
 #include "testing.h"
 
 #include <algorithm>
@@ -452,3 +453,63 @@
     CHECK(votersOf(fleet) == livingControlHosts(fleet));
     CHECK_EQUAL(std::size_t{5}, votersOf(fleet).size());
 }
+
+/** A group that had elected a leader stood still, and no log told that the leader lacked the commit of its first entry. */
+TEST_CASE(Membership, AnElectedLeaderThatIsNotReadyIsReported)
+{
+    deployment::HostOptions options;
+    options.host = "c0";
+    options.control = true;
+    deployment::Now now{10000, 10000};
+    deployment::Host host = deployment::makeHost(options, storage::foundingIncarnation, {}, 1, now);
+    consensus::initialise(*host.node, deployment::foundingMembership({"c0", "c1"}), now.monotonicMs);
+    deployment::HostOutput output;
+    deployment::tick(host, now, output);
+    host.node->role = consensus::Role::Leader;
+    host.node->termStartIndex = 5;
+    host.node->progress["c1"].nextIndex = 4;
+    for (std::uint64_t passed = 0; passed < 2500; passed += stepMs) {
+        host.node->nextRoundMs = now.monotonicMs + 1000;
+        deployment::tick(host, now, output);
+        now.monotonicMs += stepMs;
+    }
+    CHECK_EQUAL(std::size_t{2}, output.decisions.size());
+    CHECK_TEXT("leader-not-ready", output.decisions[0].name);
+    CHECK_TEXT("first=5 last=0 synced=0 commit=0 members=c1:0:4", output.decisions[0].detail);
+}
+
+/** Entries that a leader appends while it is cut off from its group are in the way of the next leader: there must be none once its lease is over. */
+TEST_CASE(Membership, ALeaderWithoutItsLeaseAppendsNothing)
+{
+    Fleet fleet({});
+    CHECK(waitForVoters(fleet, {"c0", "c1", "c2"}, 10000));
+    fleet.run(3000);
+    CHECK(fleet.putPlan(1, 2, false));
+    std::vector<std::string> jobs;
+    for (int i = 0; i < 40; ++i) {
+        jobs.push_back("/0/j" + std::to_string(i));
+        fleet.submit(jobs.back(), {makeStep(1, 500, 1000 + 100 * i)});
+    }
+    fleet.run(2000);
+    const std::string cutOff = fleet.leader()->id;
+    silence(fleet, cutOff, Silence::CutOff, 0);
+    const consensus::Node &node = *fleet.host(cutOff).host->node;
+    CHECK(fleet.runUntil(
+        [&] {
+            return !consensus::holdsLease(node, fleet.nowMs);
+        },
+        electionMs));
+    CHECK(node.role == consensus::Role::Leader);
+    const std::uint64_t last = consensus::lastIndex(node.log);
+    fleet.run(5000);
+    CHECK_EQUAL(last, consensus::lastIndex(node.log));
+    endSilence(fleet, cutOff, Silence::CutOff);
+    for (const std::string &path : jobs) {
+        CHECK(fleet.runUntil(
+            [&] {
+                return fleet.phase(path) == job::Phase::Completed;
+            },
+            60000));
+    }
+    CHECK_TEXT("", violationsText(fleet));
+}
