--- a/Source/storage/journal.cpp
+++ b/Source/storage/journal.cpp
@@ -161,10 +161,11 @@
             return error;
         }
     }
-    if ((error = m_file.open(path, false))) {
+    if ((error = m_file.open(path, false)) || (error = m_file.sync())) {
         return error;
     }
-    return m_file.sync();
+    // A process that was killed may have renamed the file, or written the identity, without a sync of the folder.
+    return syncFolder(path.parent_path());
 }
 
 std::error_code Journal::append(std::span<const wire::JournalRecordT> records)
--- a/Tests/storage/journal.cpp
+++ b/Tests/storage/journal.cpp
@@ -3,6 +3,8 @@
 #include "storage/storageerror.h"
 #include "testing.h"
 
+#include <sys/stat.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <fstream>
@@ -11,6 +13,22 @@
 {
 using namespace rosemaryturn;
 
+int folderSyncs = 0; ///< Number of syncs of a folder.
+}
+
+/** Replaces the library's function, to count the syncs of folders. */
+extern "C" int fsync(int descriptor) // NOLINT(readability-inconsistent-declaration-parameter-name): the library's name is reserved.
+{
+    struct stat status
+    {
+    };
+    folderSyncs += fstat(descriptor, &status) == 0 && S_ISDIR(status.st_mode) ? 1 : 0;
+    return static_cast<int>(syscall(SYS_fsync, descriptor));
+}
+
+namespace
+{
+
 /** A temporary folder that the destructor removes. */
 struct TemporaryFolder
 {
@@ -71,6 +89,19 @@
     CHECK_EQUAL(std::uint64_t{0}, content.tornBytes);
 }
 
+/** A process was killed after it had renamed a new journal, before the folder was synced. The next one confirmed records in that file, and a loss of power
+ * brought the earlier file back without them. */
+TEST_CASE(Journal, ANameThatWasFoundIsSyncedBeforeUse)
+{
+    const TemporaryFolder folder;
+    writeThreeBatches(folder.path / "j");
+    storage::Journal journal;
+    storage::JournalContent content;
+    folderSyncs = 0;
+    CHECK(!journal.open(folder.path / "j", content));
+    CHECK_EQUAL(1, folderSyncs);
+}
+
 TEST_CASE(Journal, TruncatesATornTailAtEveryByte)
 {
     const TemporaryFolder folder;
