deployment: Renew no lease through a process with an earlier start time

A reply to a poll from a process whose start time is lower than the registered one's was ignored, but the polls went on to renew the lease. If the wall clock of an upstream is set back before it restarts under its id, the heartbeats of the new process are taken for delayed ones, and the runs of the one before are never lost: their jobs don't end (LOST). Found by reading, shown by a test of the leader; no schedule plays it.

Change: the upstream counts as silent until lists of the registered process arrive, so that its leases end. It is then forgotten and registered anew.

Test: Leader.RunsAreLostWhenAProcessWithAnEarlierStartTimeAnswers, failing before (the run is still active after 20 s).

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -529,6 +529,7 @@
     }
     if (reply.incarnation != 0 && reply.incarnation < upstreamState.registration.born) {
         upstreamState.listsRead = false; // Lists of an earlier process say nothing about the registered one.
+        upstreamState.silent = true; // The registered process may be over, so its leases aren't renewed.
         upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
         return;
     }
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -231,3 +231,22 @@
     answerNextPoll(test, {listedRun(first)});
     CHECK(run.located);
 }
+
+/** Guards against runs that are never lost: a process whose start time was lower than that of the one before answered the polls, which went on to renew the
+ * lease. */
+TEST_CASE(Leader, RunsAreLostWhenAProcessWithAnEarlierStartTimeAnswers)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall start = startTask(test, "j");
+    answer(test, start, CallStatus::Done);
+    answerNextPoll(test, {listedRun(start)});
+    constexpr int maxPasses = 1000;
+    for (int i = 0; i < maxPasses && taskOf(test, "j").activeRun != 0; ++i) {
+        pass(test, 20);
+        const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+        if (poll.id != 0) {
+            answerPoll(test, poll, born - 1000);
+        }
+    }
+    CHECK_EQUAL(std::uint32_t{0}, taskOf(test, "j").activeRun);
+}
