Tests: Let fake upstreams act in each way that the protocol leaves open

The fake upstreams of a fleet played one reading of each sentence of the upstream protocol: a stop took 100 ms and the run stayed listed, an acknowledged run was remembered, a start was refused by its own lease only, a start of a higher run was refused while a lower one was there (which hid a task that runs twice), a waiting poll was applied on arrival and again with its answer, tickets never expired and no upstream guarded its capacity. Each is now an option with the earlier reading as its default. Orders may also be refused by an unhealthy upstream, or answered without a body, and the delay of late orders can be set.

--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -13,7 +13,6 @@
 {
 constexpr std::uint64_t heartbeatMs = 1500;
 constexpr std::uint64_t contactMs = 4000;
-constexpr std::uint64_t stopMs = 100;
 constexpr std::uint64_t gangWaitMs = 3000;
 constexpr std::uint64_t ticketMs = 2000;
 constexpr std::uint64_t hostTickMs = 20;
@@ -44,9 +43,24 @@
     return highest;
 }
 
-std::string ticketFor(const std::string &step, const std::string &upstream)
+/** Removes the body of an answer: the lists and the clock, and why the order was refused. */
+void cutBody(deployment::UpstreamReply &reply)
 {
-    return step + "@" + upstream;
+    const std::uint64_t id = reply.id;
+    const deployment::CallStatus status = reply.status;
+    reply = {};
+    reply.id = id;
+    switch (status) {
+    case deployment::CallStatus::Fenced:
+    case deployment::CallStatus::Outdated:
+    case deployment::CallStatus::TooLate:
+    case deployment::CallStatus::BadTicket:
+        reply.status = deployment::CallStatus::NoCapacity; // As the platform reads a refusal without a reason.
+        break;
+    default:
+        reply.status = status;
+        break;
+    }
 }
 }
 
@@ -157,6 +171,7 @@
     settings.control = host.control;
     settings.canRequestAdvice = true;
     settings.leader.lease.longestLeaseMs = options.longestLeaseMs;
+    settings.leader.stopMs = options.upstreamBehavior.maxStopMs;
     settings.couriers.minUpstreams = options.minUpstreamsForCouriers;
     constexpr std::uint32_t maxSeeds = 3;
     for (std::uint32_t i = 0; i < std::min(options.controlHosts, maxSeeds); ++i) {
@@ -395,6 +410,29 @@
     return static_cast<double>(std::hash<std::string>{}(step + "/" + upstream) % parts) < options.allowedShare * static_cast<double>(parts);
 }
 
+std::string Fleet::ticketFor(const std::string &step, const std::string &upstream) const
+{
+    std::string ticket = step + "@" + upstream;
+    if (!options.upstreamBehavior.ticketsExpire) {
+        return ticket;
+    }
+    const auto found = std::find_if(upstreams.begin(), upstreams.end(), [&upstream](const FakeUpstream &other) {
+        return other.id == upstream && other.alive;
+    });
+    const std::uint64_t incarnation = found == upstreams.end() ? 0 : found->incarnation;
+    return ticket + "@" + std::to_string(incarnation) + "@" + std::to_string(nowMs);
+}
+
+bool Fleet::acceptsTicket(const FakeUpstream &upstream, const deployment::UpstreamCall &call) const
+{
+    const std::string issued = stepNameOf(call.job, call.task) + "@" + upstream.id;
+    if (!options.upstreamBehavior.ticketsExpire) {
+        return call.ticket == issued;
+    }
+    const std::string ofProcess = issued + "@" + std::to_string(upstream.incarnation) + "@";
+    return call.ticket.starts_with(ofProcess) && nowMs <= std::stoull(call.ticket.substr(ofProcess.size())) + ticketMs;
+}
+
 void Fleet::answerAdvice(FakeHost &self, const deployment::LocalAdviceRequest &request)
 {
     constexpr std::uint64_t decisionMs = 50;
@@ -464,6 +502,20 @@
     });
 }
 
+/** Carries out an order after a delay, unless the process that received it has ended: a process started since doesn't have it. */
+void Fleet::carryOutLate(const deployment::UpstreamCall &call, std::uint64_t incarnation)
+{
+    schedule(orderFaults.delayMs + m_random() % orderFaults.delaySpreadMs, [this, call, incarnation] {
+        const bool same = std::any_of(upstreams.begin(), upstreams.end(), [&](const FakeUpstream &upstream) {
+            return upstream.address == call.address && upstream.incarnation == incarnation;
+        });
+        if (same) {
+            executeCall(call, [](const deployment::UpstreamReply &) {
+            });
+        }
+    });
+}
+
 void Fleet::callUpstream(FakeHost &self, const deployment::UpstreamCall &call, const ReplySink &answer)
 {
     constexpr std::size_t parts = 10000;
@@ -485,29 +537,28 @@
     if (lost || !reaches) {
         answer(nothing, call.timeoutMs);
         if (late && reaches) { // An upstream can't carry out an order that it didn't receive.
-            constexpr std::uint64_t earliestMs = 2000;
-            constexpr std::uint64_t spreadMs = 10000;
-            // Only the process that received the order carries it out; a process started since doesn't have it.
-            schedule(earliestMs + m_random() % spreadMs, [this, call, incarnation = target->incarnation] {
-                const bool same = std::any_of(upstreams.begin(), upstreams.end(), [&](const FakeUpstream &upstream) {
-                    return upstream.address == call.address && upstream.incarnation == incarnation;
-                });
-                if (same) {
-                    executeCall(call, [](const deployment::UpstreamReply &) {
-                    });
-                }
-            });
+            carryOutLate(call, target->incarnation);
         }
         return;
     }
     const double unansweredFrom = orderFaults.delayedShare + orderFaults.lostShare;
     const bool unanswered = !exempt && !late && !lost && sample < unansweredFrom + orderFaults.unansweredShare;
-    const bool slow = !late && !lost && !unanswered && sample < unansweredFrom + orderFaults.unansweredShare + orderFaults.slowShare;
+    const double slowFrom = unansweredFrom + orderFaults.unansweredShare;
+    const bool slow = !late && !lost && !unanswered && sample < slowFrom + orderFaults.slowShare;
+    const double busyFrom = slowFrom + orderFaults.slowShare;
+    const bool busy = !exempt && sample >= busyFrom && sample < busyFrom + orderFaults.busyShare;
+    const bool cut = !exempt && sample >= busyFrom + orderFaults.busyShare && sample < busyFrom + orderFaults.busyShare + orderFaults.cutShare;
+    if (busy) {
+        deployment::UpstreamReply refusal = nothing;
+        refusal.status = deployment::CallStatus::Busy;
+        answer(refusal, 2 * options.networkDelayMs);
+        return;
+    }
     const std::uint64_t transitMs = slow ? m_random() % orderFaults.maxTransitMs : 0;
     const std::uint64_t orderMs = slow && m_random() % 2 == 0 ? transitMs : 0;
     const std::uint64_t answerMs = options.networkDelayMs + transitMs - orderMs;
     schedule(options.networkDelayMs + orderMs,
-             [this, call, answer, orderMs, answerMs, nothing, unanswered, id = self.id, upstream = target->id, incarnation = target->incarnation] {
+             [this, call, answer, orderMs, answerMs, nothing, unanswered, cut, id = self.id, upstream = target->id, incarnation = target->incarnation] {
                  const auto answered = std::make_shared<bool>(false);
                  const bool same = std::any_of(upstreams.begin(), upstreams.end(), [&](const FakeUpstream &other) {
                      return other.id == upstream && other.incarnation == incarnation && other.alive;
@@ -516,9 +567,12 @@
                      answer(nothing, 0); // The connection was lost with the process.
                      return;
                  }
-                 executeCall(call, [this, answer, answerMs, answered, unanswered, id, upstream](const deployment::UpstreamReply &reply) {
+                 executeCall(call, [this, answer, answerMs, answered, unanswered, cut, id, upstream](deployment::UpstreamReply reply) {
                      if (isConnected(id, upstream) && !unanswered) {
                          *answered = true;
+                         if (cut) {
+                             cutBody(reply);
+                         }
                          answer(reply, answerMs);
                      }
                  });
@@ -553,20 +607,12 @@
     }
     upstream.fence = call.fence;
     if (call.kind == deployment::CallKind::Poll) {
-        result = pollRuns(upstream, call);
+        const bool applies = call.waitMs == 0 || !upstream.ended.empty() || options.upstreamBehavior.waitingPoll != WaitingPoll::AtAnswer;
+        if (applies) {
+            result = pollRuns(upstream, call);
+        }
         if (call.waitMs > 0 && result.ended.empty()) {
-            upstream.waitingPolls.emplace_back(nowMs + call.waitMs, [this, id = upstream.id, incarnation = upstream.incarnation, call, reply] {
-                const auto self = std::find_if(upstreams.begin(), upstreams.end(), [&id](const FakeUpstream &other) {
-                    return other.id == id;
-                });
-                if (self != upstreams.end() && self->alive && self->incarnation == incarnation) {
-                    reply(pollRuns(*self, call));
-                } else {
-                    deployment::UpstreamReply nothing;
-                    nothing.id = call.id;
-                    reply(nothing);
-                }
-            });
+            waitForEnd(upstream, call, options.upstreamBehavior.waitingPoll == WaitingPoll::AtArrival ? std::optional(result) : std::nullopt, reply);
             return;
         }
     } else if (call.kind == deployment::CallKind::Start) {
@@ -586,6 +632,27 @@
     reply(result);
 }
 
+/**
+ * Answers a poll once a run ends or its time is over.
+ * @param upstream the upstream. @param call the poll. @param answer the answer if it is known already. @param reply receives the answer.
+ */
+void Fleet::waitForEnd(FakeUpstream &upstream, const deployment::UpstreamCall &call, const std::optional<deployment::UpstreamReply> &answer,
+                       const std::function<void(const deployment::UpstreamReply &)> &reply)
+{
+    upstream.waitingPolls.emplace_back(nowMs + call.waitMs, [this, id = upstream.id, incarnation = upstream.incarnation, call, answer, reply] {
+        const auto self = std::find_if(upstreams.begin(), upstreams.end(), [&id](const FakeUpstream &other) {
+            return other.id == id;
+        });
+        if (self != upstreams.end() && self->alive && self->incarnation == incarnation) {
+            reply(answer ? *answer : pollRuns(*self, call));
+        } else {
+            deployment::UpstreamReply nothing;
+            nothing.id = call.id;
+            reply(nothing);
+        }
+    });
+}
+
 std::uint64_t Fleet::upstreamClock(const FakeUpstream &upstream) const
 {
     // Every other upstream's clock is 2% slow.
@@ -606,7 +673,8 @@
     if (call.leaseUntilMs > 0) {
         upstream.leaseUntilMs = std::max(upstream.leaseUntilMs, std::min(call.leaseUntilMs, upstreamClock(upstream) + options.longestLeaseMs));
     }
-    if (call.leaseUntilMs > 0 && call.leaseUntilMs < upstreamClock(upstream)) {
+    const std::uint64_t validUntilMs = options.upstreamBehavior.startsUnderAnyLease ? upstream.leaseUntilMs : call.leaseUntilMs;
+    if (call.leaseUntilMs > 0 && validUntilMs < upstreamClock(upstream)) {
         reply.status = deployment::CallStatus::TooLate;
         return reply;
     }
@@ -614,7 +682,9 @@
         reply.status = deployment::CallStatus::Done;
         return reply;
     }
-    if ((closed != upstream.closedRuns.end() && call.run <= closed->second) || present != upstream.runs.end()) {
+    const bool lowerIsThere = present != upstream.runs.end() && present->second.number < call.run;
+    const bool otherIsThere = present != upstream.runs.end() && !(lowerIsThere && options.upstreamBehavior.startsHigherRuns);
+    if ((closed != upstream.closedRuns.end() && call.run <= closed->second) || otherIsThere) {
         reply.status = deployment::CallStatus::Outdated;
         return reply;
     }
@@ -624,10 +694,14 @@
         return reply;
     }
     const wire::StepSpecT &step = *job->second.steps[call.task.step];
-    if (m_advised && call.ticket != ticketFor(stepNameOf(call.job, call.task), upstream.id)) {
+    if (m_advised && !acceptsTicket(upstream, call)) {
         reply.status = deployment::CallStatus::BadTicket;
         return reply;
     }
+    if (options.upstreamBehavior.guardsCapacity && !hasRoomFor(upstream, step)) {
+        reply.status = deployment::CallStatus::NoCapacity;
+        return reply;
+    }
     checkStart(upstream, call, step);
     constexpr std::size_t parts = 1000;
     FakeRun run;
@@ -688,6 +762,14 @@
     const std::string name = nameOf(call.job, call.task);
     std::uint32_t &closed = upstream.closedRuns[name];
     closed = std::max(closed, call.run);
+    const auto present = upstream.runs.find(name);
+    if (present == upstream.runs.end() || present->second.number != call.run || present->second.stopping) {
+        return;
+    }
+    present->second.stopping = true;
+    const UpstreamBehavior &behavior = options.upstreamBehavior;
+    const std::uint64_t rangeMs = behavior.maxStopMs - behavior.minStopMs;
+    const std::uint64_t stopMs = behavior.minStopMs + (rangeMs == 0 ? 0 : m_random() % (rangeMs + 1));
     schedule(stopMs, [this, id = upstream.id, incarnation = upstream.incarnation, name, run = call.run] {
         for (FakeUpstream &target : upstreams) {
             const auto found = target.runs.find(name);
@@ -753,6 +835,9 @@
         }
         const std::string name = nameOf(end.job, end.task);
         traceLine(upstream.id + " end " + std::to_string(end.number) + " of " + end.job + " acknowledged with fence " + std::to_string(call.fence));
+        if (options.upstreamBehavior.forgetsAcknowledgedRuns && upstream.closedRuns[name] == end.run) {
+            upstream.closedRuns.erase(name);
+        }
         if (end.number <= upstream.lapsedEnd) {
             return true;
         }
@@ -769,7 +854,9 @@
         return true;
     });
     for (const auto &[name, run] : upstream.runs) {
-        reply.running.push_back({run.job, run.task, run.number, "", 0, 0});
+        if (!run.stopping || !options.upstreamBehavior.hidesStoppingRuns) {
+            reply.running.push_back({run.job, run.task, run.number, "", 0, 0});
+        }
     }
     reply.ended = upstream.ended;
     for (const deployment::ListedEnd &end : upstream.ended) {
@@ -858,7 +945,7 @@
 void Fleet::tickUpstream(FakeUpstream &upstream)
 {
     const bool lapsed = upstreamClock(upstream) > upstream.leaseUntilMs;
-    if (lapsed) {
+    if (lapsed && (!upstream.runs.empty() || !options.upstreamBehavior.lapsesOnlyWithRuns)) {
         upstream.lapsedEnd = upstream.nextEnd - 1;
     }
     std::vector<std::pair<std::string, wire::RunEnd>> ends;
@@ -956,6 +1043,19 @@
     upstream.capacity = capacity;
 }
 
+/** @return whether a task of a step fits beside the runs of an upstream, including those that are being stopped. */
+bool Fleet::hasRoomFor(const FakeUpstream &upstream, const wire::StepSpecT &step) const
+{
+    std::uint64_t cpu = step.cpuMillis;
+    std::uint64_t memory = step.memoryMb;
+    for (const auto &[name, run] : upstream.runs) {
+        const wire::StepSpecT &spec = *jobs.at(run.job).steps[run.task.step];
+        cpu += spec.cpuMillis;
+        memory += spec.memoryMb;
+    }
+    return cpu <= upstream.capacity.cpuMillis && memory <= upstream.capacity.memoryMb;
+}
+
 FakeCapacity Fleet::countedCapacity(const FakeUpstream &upstream) const
 {
     FakeCapacity counted = upstream.capacity;
@@ -1058,10 +1158,8 @@
             std::uint64_t lateMs = 0;
             if (orderFaults.delayedReportShare > 0) {
                 constexpr std::size_t parts = 10000;
-                constexpr std::uint64_t earliestMs = 2000;
-                constexpr std::uint64_t spreadMs = 10000;
                 const bool late = static_cast<double>(m_random() % parts) < orderFaults.delayedReportShare * static_cast<double>(parts);
-                lateMs = late ? earliestMs + m_random() % spreadMs : 0;
+                lateMs = late ? orderFaults.delayMs + m_random() % orderFaults.delaySpreadMs : 0;
             }
             schedule(
                 options.networkDelayMs + lateMs,
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -20,13 +21,17 @@
 /** Faults that are injected into orders to upstreams. */
 struct OrderFaults
 {
-    double delayedShare = 0; ///< Share of the orders that get no answer and are carried out 2 to 12 s later.
+    double delayedShare = 0; ///< Share of the orders that get no answer and are carried out later.
+    std::uint64_t delayMs = 2000; ///< Time after which they are carried out.
+    std::uint64_t delaySpreadMs = 10000; ///< Maximum time that is added to it.
     double lostShare = 0; ///< Share of the orders that get no answer and are never carried out.
     bool startsOnly = false; ///< Whether stops and polls are exempt.
     double unansweredShare = 0; ///< Share of the orders that are carried out but get no answer.
     double slowShare = 0; ///< Share of the orders that take up to maxTransitMs more on their way or whose answers do.
     std::uint64_t maxTransitMs = 500;
-    double delayedReportShare = 0; ///< Share of the heartbeats and departures that reach their host 2 to 12 s later.
+    double delayedReportShare = 0; ///< Share of the heartbeats and departures that reach their host as much later.
+    double busyShare = 0; ///< Share of the orders that an unhealthy upstream refuses without any effect.
+    double cutShare = 0; ///< Share of the orders that are carried out and whose answers lack their body.
 };
 
 /** Faults that are injected into the messages between hosts. */
@@ -35,6 +40,28 @@
     std::uint64_t maxHeldMs = 0; ///< Messages that a partition stops are delivered when it heals unless they are older; at 0 they are dropped.
 };
 
+/** When a poll that waits for an end is applied and its lists are made. */
+enum class WaitingPoll {
+    AtBoth, ///< On its arrival and again when it is answered.
+    AtArrival,
+    AtAnswer,
+};
+
+/** How upstreams act where the upstream protocol leaves a choice; times in milliseconds. */
+struct UpstreamBehavior
+{
+    std::uint64_t minStopMs = 100;
+    std::uint64_t maxStopMs = 100;
+    bool hidesStoppingRuns = false; ///< A run that is being stopped is in neither list.
+    bool forgetsAcknowledgedRuns = false; ///< An acknowledged end doesn't make the upstream refuse later starts of its run.
+    bool startsUnderAnyLease = false; ///< A start whose own lease is over is refused only if that of the upstream is over too.
+    bool startsHigherRuns = false; ///< A start isn't refused because a lower run of its task is there.
+    bool lapsesOnlyWithRuns = false; ///< A lease that expires while nothing runs doesn't count as lapsed.
+    bool guardsCapacity = false; ///< A start that exceeds the capacity is refused.
+    bool ticketsExpire = false; ///< A ticket is refused once its validity is over, and by later processes.
+    WaitingPoll waitingPoll = WaitingPoll::AtBoth;
+};
+
 /** Configuration of a fleet; times in milliseconds. */
 struct FleetOptions
 {
@@ -55,6 +82,7 @@
     std::uint64_t crashedForMs = 3000; ///< Time until an upstream that a task crashed is back.
     bool crashesBreakGangs = false; ///< Whether the crash of an upstream under a member of a gang breaks the others.
     bool newIdAfterCrash = false; ///< Whether it comes back as a new upstream at the same address.
+    UpstreamBehavior upstreamBehavior;
 };
 
 /** A run on a fake upstream. */
@@ -67,6 +95,7 @@
     std::uint64_t gangDeadlineMs = 0; ///< For a gang: when it stops waiting for the other members.
     bool waiting = false; ///< Whether it waits for other members of its gang.
     bool failing = false;
+    bool stopping = false; ///< Whether it is being stopped.
 };
 
 /** What an upstream has for its runs. */
@@ -229,6 +258,7 @@
     ReplySink replyDirectly(const FakeHost &self);
     ReplySink replyThroughCourier(const FakeHost &courier, const std::string &leader, std::uint64_t origin);
     void deliverOrders(const FakeHost &self, const std::string &courier, const deployment::OrderBatch &delivery);
+    void carryOutLate(const deployment::UpstreamCall &call, std::uint64_t incarnation);
     void callUpstream(FakeHost &self, const deployment::UpstreamCall &call, const ReplySink &answer);
     void executeCall(const deployment::UpstreamCall &call, const std::function<void(const deployment::UpstreamReply &)> &reply);
     deployment::UpstreamReply startRun(FakeUpstream &upstream, const deployment::UpstreamCall &call);
@@ -237,6 +267,11 @@
     void returnAfterCrash(FakeUpstream &upstream);
     FakeCapacity countedCapacity(const FakeUpstream &upstream) const;
     deployment::UpstreamReply pollRuns(FakeUpstream &upstream, const deployment::UpstreamCall &call);
+    void waitForEnd(FakeUpstream &upstream, const deployment::UpstreamCall &call, const std::optional<deployment::UpstreamReply> &answer,
+                    const std::function<void(const deployment::UpstreamReply &)> &reply);
+    std::string ticketFor(const std::string &step, const std::string &upstream) const;
+    bool acceptsTicket(const FakeUpstream &upstream, const deployment::UpstreamCall &call) const;
+    bool hasRoomFor(const FakeUpstream &upstream, const wire::StepSpecT &step) const;
     void endGang(const FakeRun &run, wire::RunEnd end);
     void endRun(FakeUpstream &upstream, const std::string &name, wire::RunEnd end);
     void tickUpstream(FakeUpstream &upstream);
