deployment: Don't take a run that is being stopped for ended

Seen: a task was started, or its capacity used again, while an earlier run was still being stopped (LIMIT, TWICE).

It doesn't say that the run stays in the list of running ones meanwhile. A leader took a run that was in neither list for lost or never begun, right after the answer to a stop.

Change: a list proves that a stopped run is over only if its poll was sent a stop's maximum time after the stop's first answer; for inherited runs, which an earlier leader may have stopped, after the first lists that this leader's fence brought. Polls wait until then instead of being repeated.

Costs: a run whose start stays unknown is placed again by the time of a stop later, and so is an inherited run that never began.

Ruled out: that the order of answers alone suffices; a poll that is sent after the answer to the stop still meets the stop in progress.

--- a/Source/daemon/deploymentdaemon.cpp
+++ b/Source/daemon/deploymentdaemon.cpp
@@ -136,7 +136,7 @@
     options.couriers.minUpstreams = settings.couriersFromUpstreams;
     options.leader.lease.leaseMs = settings.leaseMs;
     options.leader.lease.longestLeaseMs = settings.longestLeaseMs;
-    options.leader.stopMs = settings.stopMs;
+    options.leader.lease.stopMs = settings.stopMs;
     options.leader.gangWaitMs = settings.gangWaitMs;
     options.leader.drainMs = settings.drainMs;
     options.leader.keepJobsMs = settings.keepJobsMs;
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -38,7 +38,6 @@
     std::uint64_t pollWaitMs = 1000; ///< Time for which the upstream may delay its reply to a poll until a run ends.
     std::uint64_t pollTimeoutMs = 800; ///< Time beyond the wait after which a poll counts as unanswered.
     std::uint64_t orderTimeoutMs = 700; ///< Time after which a start or stop counts as unanswered.
-    std::uint64_t stopMs = 200; ///< Maximum time that an upstream takes to stop a run.
     std::uint64_t drainMs = 3000; ///< Time after which no start may reach a draining upstream.
     std::uint64_t maxSilenceMs = 4000; ///< Time without contact after which an upstream gets no new runs: 2.5 heartbeats.
     std::uint64_t forgetAfterMs = 30000; ///< Time without contact after which an upstream without runs is removed.
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -1,6 +1,7 @@
 #include "deployment/leader.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace rosemaryturn::deployment::internal
@@ -140,6 +141,22 @@
         && a.address == b.address && a.service == b.service;
 }
 
+/** @return the time for which the reply to a poll may be delayed: until the next one can prove that a run is over. */
+std::uint64_t maxWaitMs(const Leader &leader, const UpstreamState &upstreamState, const Now &now)
+{
+    if (!upstreamState.listsRead || upstreamState.silent || upstreamState.runs.empty()) {
+        return 0;
+    }
+    std::uint64_t waitMs = leader.options.pollWaitMs;
+    for (const auto &[task, run] : upstreamState.runs) {
+        if (run.phase == RunPhase::Voiding || run.phase == RunPhase::Inherited) {
+            const std::uint64_t proofMs = upstream::absenceProofMs(upstreamState, run, leader.options.lease).value_or(0);
+            waitMs = std::min(waitMs, proofMs - std::min(proofMs, now.monotonicMs));
+        }
+    }
+    return waitMs;
+}
+
 void sendPoll(Leader &leader, UpstreamState &upstreamState, const Now &now, LeaderOutput &output)
 {
     UpstreamCall call;
@@ -150,12 +167,8 @@
     call.fence = fenceFor(leader, upstreamState);
     const bool acknowledgementDue = upstreamState.recordedEnd > upstreamState.acknowledgedEnd;
     call.acknowledge = acknowledgementDue && upstream::mayAcknowledge(upstreamState, now.monotonicMs) ? upstreamState.recordedEnd : 0;
-    const bool settled
-        = upstreamState.listsRead && !upstreamState.silent && std::none_of(upstreamState.runs.begin(), upstreamState.runs.end(), [](const auto &entry) {
-              return entry.second.phase == RunPhase::Voiding;
-          });
     // A poll that acknowledges doesn't wait: while it waits, the upstream may be replaced by a process that numbers its ends anew.
-    call.waitMs = settled && !acknowledgementDue && !upstreamState.runs.empty() ? leader.options.pollWaitMs : 0;
+    call.waitMs = acknowledgementDue ? 0 : maxWaitMs(leader, upstreamState, now);
     // A renewing poll may be carried out although no reply arrives, so polls of a silent upstream don't renew its leases, which expire.
     if (!upstreamState.silent && !upstreamState.runs.empty()) {
         call.leaseUntilMs = upstream::grantLease(upstreamState, leader.options.lease, now.monotonicMs);
@@ -449,10 +462,9 @@
         if (listed.count(task) > 0) {
             continue;
         }
-        const bool inherited = run.phase == RunPhase::Inherited;
-        const bool vanished = (run.phase == RunPhase::Running || run.phase == RunPhase::Stopping) && run.startedAtMs > 0 && run.startedAtMs < poll.sentMs;
-        const bool voided = run.phase == RunPhase::Voiding && run.stopAnswered && run.stopAnsweredMs < poll.sentMs;
-        if (inherited || vanished || voided) {
+        const std::optional<std::uint64_t> proofMs = upstream::absenceProofMs(upstreamState, run, leader.options.lease);
+        if (proofMs && *proofMs < poll.sentMs) {
+            const bool voided = run.phase == RunPhase::Voiding;
             const wire::RunEnd end = voided ? wire::RunEnd::Never : wire::RunEnd::Lost;
             ++(voided ? leader.counters.runsNever : leader.counters.runsLost);
             proposeEnd(run, end, run.checkpoint, record);
@@ -508,6 +520,9 @@
     if (upstreamState.silent) {
         output.decisions.push_back({"upstream-answers", upstreamState.registration.id, "runs=" + std::to_string(upstreamState.runs.size())});
     }
+    if (!upstreamState.listsRead) {
+        upstreamState.fencedMs = now.monotonicMs;
+    }
     upstreamState.silent = false;
     upstreamState.listsRead = true;
     upstreamState.unansweredStarts = 0;
@@ -587,7 +602,7 @@
 void handleStopReply(Run &run, CallStatus status, const Now &now)
 {
     run.orderPending = false;
-    if (status == CallStatus::Done) {
+    if (status == CallStatus::Done && !run.stopAnswered) {
         run.stopAnswered = true;
         run.stopAnsweredMs = now.monotonicMs;
     }
--- a/Source/upstream/upstreamstate.cpp
+++ b/Source/upstream/upstreamstate.cpp
@@ -57,6 +57,24 @@
     return run.located ? upstreamState.lapseBoundMs : std::max(upstreamState.lapseBoundMs, upstreamState.laterLapseBoundMs);
 }
 
+std::optional<std::uint64_t> absenceProofMs(const UpstreamState &upstreamState, const Run &run, const LeaseTiming &timing)
+{
+    const std::uint64_t stopMs = maxLocalMs(timing.stopMs, timing);
+    switch (run.phase) {
+    case RunPhase::Running:
+        return run.startedAtMs > 0 ? std::optional(run.startedAtMs) : std::nullopt;
+    case RunPhase::Stopping:
+    case RunPhase::Voiding:
+        return run.stopAnswered ? std::optional(run.stopAnsweredMs + stopMs) : std::nullopt;
+    case RunPhase::Inherited: // An earlier leader may have stopped it.
+        return upstreamState.listsRead ? std::optional(upstreamState.fencedMs + stopMs) : std::nullopt;
+    case RunPhase::Recording:
+    case RunPhase::Starting:
+        break;
+    }
+    return std::nullopt;
+}
+
 bool mayAcknowledge(const UpstreamState &upstreamState, std::uint64_t nowMs)
 {
     const bool confirmed = upstreamState.listsRead && !upstreamState.silent && nowMs <= upstreamState.confirmedMs + maxConfirmationAgeMs;
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,7 @@
     bool orderPending = false; ///< A start or stop awaits its reply.
     bool located = false; ///< A list of the registered process contained it, so no later process under the id can have begun it.
     bool stopAnswered = false; ///< The upstream confirmed a stop.
-    std::uint64_t stopAnsweredMs = 0; ///< Time of that confirmation.
+    std::uint64_t stopAnsweredMs = 0; ///< Time of the first confirmation.
     bool stopRequested = false; ///< The run is stopped as soon as it is known to be running.
 };
 
@@ -89,6 +90,7 @@
     std::uint64_t proposedEnd = 0; ///< Number of the last end whose record is proposed.
     std::uint64_t acknowledgedEnd = 0; ///< Number of the last end whose acknowledgement the upstream has answered.
     std::uint64_t confirmedMs = 0; ///< Time of the latest lists of the registered process.
+    std::uint64_t fencedMs = 0; ///< Time of the first of these lists; the upstream has carried out no order of an earlier leader since.
     bool pollPending = false; ///< A poll awaits its reply.
     std::uint64_t pollSentMs = 0;
     std::uint64_t nextPollMs = 0;
@@ -110,6 +112,7 @@
     std::uint64_t marginMs = 100; ///< Added to every bound to cover the rounding of clocks.
     std::uint64_t longestLeaseMs = 10000; ///< Maximum to which an upstream shortens every lease.
     std::uint64_t maxDeliveryMs = 1000; ///< Maximum age at which an order takes effect at an upstream: its maximum age at sending, and the network delay.
+    std::uint64_t stopMs = 200; ///< Maximum time that an upstream takes to stop a run, on its clock.
 };
 
 /** @param durationMs a duration on the upstream's clock. @param timing the lease parameters. @return its maximum duration on the local clock. */
@@ -141,6 +144,13 @@
 /** @param upstreamState the upstream state. @param run a run of it. @return the local time by which the run has ended unless the lease is renewed again. */
 std::uint64_t lapseBoundOf(const UpstreamState &upstreamState, const Run &run);
 
+/**
+ * Decides which lists prove that a run which is missing from them is over. A run that is being stopped may be in neither list until its end is listed.
+ * @param upstreamState the upstream state. @param run a run of it. @param timing the lease parameters.
+ * @return the local time after which the poll for the lists must have been sent; nothing if no list proves it yet.
+ */
+std::optional<std::uint64_t> absenceProofMs(const UpstreamState &upstreamState, const Run &run, const LeaseTiming &timing);
+
 /**
  * Decides whether the recorded ends may be acknowledged. Numbers of ends start anew with each process, so that a process started since would forget its own
  * ends up to the acknowledged number. This is excluded while the registered process answered just before and every run that was started is known to be one of
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -171,7 +171,7 @@
     settings.control = host.control;
     settings.canRequestAdvice = true;
     settings.leader.lease.longestLeaseMs = options.longestLeaseMs;
-    settings.leader.stopMs = options.upstreamBehavior.maxStopMs;
+    settings.leader.lease.stopMs = options.upstreamBehavior.maxStopMs;
     settings.couriers.minUpstreams = options.minUpstreamsForCouriers;
     constexpr std::uint32_t maxSeeds = 3;
     for (std::uint32_t i = 0; i < std::min(options.controlHosts, maxSeeds); ++i) {
--- a/Tests/upstream/upstreamstate.cpp
+++ b/Tests/upstream/upstreamstate.cpp
@@ -159,6 +159,28 @@
     CHECK_EQUAL(std::uint64_t{2000}, upstreamState.shapeMs);
 }
 
+/** A run that is being stopped may be missing from both lists. */
+TEST_CASE(UpstreamState, AMissingRunIsOverOnceItsStopIs)
+{
+    const upstream::LeaseTiming timing; // A stop takes 200 ms, on a clock that may be 2% slow, and the margin is 100 ms.
+    upstream::UpstreamState upstreamState;
+    upstream::Run run;
+    CHECK(!upstream::absenceProofMs(upstreamState, run, timing));
+    run.phase = upstream::RunPhase::Running;
+    run.startedAtMs = 1000;
+    CHECK_EQUAL(std::uint64_t{1000}, upstream::absenceProofMs(upstreamState, run, timing).value_or(0));
+    run.phase = upstream::RunPhase::Stopping;
+    CHECK(!upstream::absenceProofMs(upstreamState, run, timing));
+    run.stopAnswered = true;
+    run.stopAnsweredMs = 2000;
+    CHECK_EQUAL(std::uint64_t{2304}, upstream::absenceProofMs(upstreamState, run, timing).value_or(0));
+    run.phase = upstream::RunPhase::Inherited;
+    CHECK(!upstream::absenceProofMs(upstreamState, run, timing));
+    upstreamState.listsRead = true;
+    upstreamState.fencedMs = 3000;
+    CHECK_EQUAL(std::uint64_t{3304}, upstream::absenceProofMs(upstreamState, run, timing).value_or(0));
+}
+
 TEST_CASE(UpstreamState, ASuspectIsUnprovenUntilItHasRunForAWhile)
 {
     upstream::UpstreamState upstreamState;
