deployment: Raise the fence once a start may be carried out after its run

Seen: a task that was done began again (TWICE), by a copy of its start that was carried out seconds late.

Cause: a late copy was refused only because the upstream remembers its runs, or because the copy's own lease was over. The protocol says that acknowledged ends are forgotten and that the lease belongs to all that runs there. An upstream that forgets the run with its end, or refuses as late only what comes after the lease of all, takes the copy.

Three new tests failed without the raise that they are for: TWICE done j1.0.0.0 (two of them), and three starts instead of two under a later lease.

Change: the fence of an upstream rises when a run is recorded as lost or never begun whose start may still be under way, and when an end is listed of a run whose start was sent more than once. The registration with the new step is proposed before the ends, so it is committed before the acknowledgement, which carries it.

Costs: a start that is under way while the fence rises is refused and sent again.

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -41,6 +41,19 @@
     output.proposals.push_back(wire::encodeChange(upstreamState.registration));
 }
 
+/** @return whether a start of a run that isn't known to have ended may still be carried out: the only one, if it had no answer, or an earlier copy. */
+bool mayStartLate(const Run &run)
+{
+    return run.startsSent > 1 || (run.startsSent == 1 && !run.located && run.startedAtMs == 0);
+}
+
+/** Raises the fence of the calls to an upstream, which refuses what was sent before once it has taken a call with the new one. */
+void raiseFence(UpstreamState &upstreamState, LeaderOutput &output)
+{
+    ++upstreamState.registration.fenceStep;
+    proposeRegistration(upstreamState, output);
+}
+
 /** Handles a new process under the same id: the runs of the earlier one have ended, but a delayed start may still be carried out by the new one. */
 void applyNewIncarnation(Leader &leader, UpstreamState &upstreamState, const wire::UpstreamSeenT &seen, const Now &now, LeaderOutput &output)
 {
@@ -86,12 +99,17 @@
 {
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
+    bool lateStarts = false;
     for (const auto &[task, run] : upstreamState.runs) {
         if (run.phase != RunPhase::Recording && overMs > upstream::lapseBoundOf(upstreamState, run)) {
             proposeEnd(run, wire::RunEnd::Lost, run.checkpoint, record);
             endedTasks.push_back(task);
+            lateStarts = lateStarts || mayStartLate(run);
         }
     }
+    if (lateStarts && !upstreamState.gone) {
+        raiseFence(upstreamState, output);
+    }
     for (const job::TaskRef &task : endedTasks) {
         releaseRun(leader, upstreamState, task);
     }
@@ -403,6 +421,7 @@
                      LeaderOutput &output)
 {
     wire::RunsEndedT record;
+    bool lateStarts = false;
     for (const ListedEnd &end : ends) {
         if (end.number <= upstreamState.proposedEnd) {
             continue;
@@ -431,9 +450,13 @@
                                         "step=" + std::to_string(task.step) + " index=" + std::to_string(task.index) + " run=" + std::to_string(end.run)
                                             + " end=" + wire::EnumNameRunEnd(end.end) + " upstream=" + upstreamState.registration.id});
         }
+        lateStarts = lateStarts || found->second.startsSent > 1;
         releaseRun(leader, upstreamState, task); // The listed end frees its capacity.
         leader.placementNeeded = true;
     }
+    if (lateStarts) {
+        raiseFence(upstreamState, output); // Once the ends are acknowledged, the upstream may not know these runs any more.
+    }
     if (upstreamState.proposedEnd > upstreamState.recordedEnd && !ends.empty()) {
         record.upstream = upstreamState.registration.number;
         record.born = upstreamState.registration.born;
@@ -458,6 +481,7 @@
     }
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
+    bool lateStarts = false;
     for (const auto &[task, run] : upstreamState.runs) {
         if (listed.count(task) > 0) {
             continue;
@@ -467,10 +491,14 @@
             const bool voided = run.phase == RunPhase::Voiding;
             const wire::RunEnd end = voided ? wire::RunEnd::Never : wire::RunEnd::Lost;
             ++(voided ? leader.counters.runsNever : leader.counters.runsLost);
+            lateStarts = lateStarts || mayStartLate(run);
             proposeEnd(run, end, run.checkpoint, record);
             endedTasks.push_back(task);
         }
     }
+    if (lateStarts) {
+        raiseFence(upstreamState, output);
+    }
     for (const job::TaskRef &task : endedTasks) {
         output.decisions.push_back({"run-absent", upstreamState.registration.id, "job=" + std::to_string(task.job) + " index=" + std::to_string(task.index)});
         releaseRun(leader, upstreamState, task);
@@ -510,8 +538,7 @@
         if (reply.status == CallStatus::Fenced) {
             // With the leader lease there is no newer leader, so the higher fence is of a registration that has been removed since. Without it no orders are
             // sent.
-            ++upstreamState.registration.fenceStep;
-            proposeRegistration(upstreamState, output);
+            raiseFence(upstreamState, output);
         }
         upstreamState.nextPollMs = now.monotonicMs + silentPollMs;
         ++leader.counters.pollsUnanswered;
--- a/Tests/deployment/upstreams.cpp
+++ b/Tests/deployment/upstreams.cpp
@@ -82,3 +82,84 @@
     CHECK(completes(fleet, "/0/next", 20000));
     checkGuarantees(fleet);
 }
+
+/** An end was acknowledged while a copy of the run's start was still to be carried out: the upstream had forgotten the run and began it again. */
+TEST_CASE(Deployment, AStartCarriedOutAfterTheAcknowledgementOfItsRunIsRefused)
+{
+    FleetOptions options = withUpstreams(1);
+    options.upstreamBehavior.forgetsAcknowledgedRuns = true;
+    Fleet fleet(options);
+    prepare(fleet);
+    fleet.orderFaults.startsOnly = true;
+    fleet.orderFaults.delayedShare = 1;
+    fleet.orderFaults.delaySpreadMs = 1;
+    fleet.submit("/0/j1", {makeStep(1, 1000, 300)});
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.startsSent == 1;
+        },
+        2000));
+    fleet.orderFaults = {};
+    CHECK(completes(fleet, "/0/j1", 1900)); // By the second copy; the first one follows after 2 s.
+    fleet.run(3000);
+    checkGuarantees(fleet);
+}
+
+/** A run was lost with its lease, and its start was carried out under a lease that the upstream was given since. */
+TEST_CASE(Deployment, AStartCarriedOutUnderALaterLeaseIsRefused)
+{
+    FleetOptions options = withUpstreams(2);
+    options.upstreamBehavior.startsUnderAnyLease = true;
+    Fleet fleet(options);
+    prepare(fleet);
+    fleet.orderFaults.startsOnly = true;
+    fleet.orderFaults.delayedShare = 1;
+    fleet.orderFaults.delayMs = 25000;
+    fleet.orderFaults.delaySpreadMs = 1;
+    fleet.submit("/0/lost", {makeStep(1, wholeCpuMillis, 60000)});
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.startsSent == 1;
+        },
+        2000));
+    const bool first = fleet.leader()->host->leader.placements.begin()->second == 1;
+    fakes::FakeUpstream &upstream = fleet.upstreams[first ? 0 : 1];
+    upstream.reachable = false;
+    fleet.orderFaults = {};
+    waitForStarts(fleet, 1); // On the other upstream, after the lease.
+    upstream.reachable = true;
+    fleet.submit("/0/other", {makeStep(1, 1000, 60000)}); // Renews the lease.
+    fleet.run(15000);
+    CHECK_EQUAL(std::uint64_t{2}, fleet.starts);
+    checkGuarantees(fleet);
+}
+
+/** The start of a run that was taken for never begun was carried out after a later run of its task had ended and been acknowledged. */
+TEST_CASE(Deployment, AStartCarriedOutAfterALaterRunOfItsTaskIsRefused)
+{
+    FleetOptions options = withUpstreams(1);
+    options.upstreamBehavior.forgetsAcknowledgedRuns = true;
+    Fleet fleet(options);
+    prepare(fleet);
+    fleet.orderFaults.startsOnly = true;
+    fleet.orderFaults.delayedShare = 1;
+    fleet.orderFaults.delayMs = 4500;
+    fleet.orderFaults.delaySpreadMs = 1;
+    fleet.submit("/0/j1", {makeStep(1, 1000, 300)});
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.startsSent == 1;
+        },
+        2000));
+    fleet.orderFaults.delayedShare = 0;
+    fleet.orderFaults.busyShare = 1;
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.startsSent == 2;
+        },
+        2000));
+    fleet.orderFaults = {};
+    CHECK(completes(fleet, "/0/j1", 3500)); // By the second run.
+    fleet.run(3000);
+    checkGuarantees(fleet);
+}
