deployment: Don't take a delayed heartbeat for a new one before the clock is known

Seen: a new leader filled a capacity that had been reduced seconds before (LIMIT).

Cause: the age of the capacity is reckoned with the upstream's clock. A new leader, or one that registers an upstream, doesn't know that clock until the first reply, and took the first heartbeat for new, however long it had been held up.

The new test of the deployment failed without the correction: LIMIT j1.0.0.1 to j1.0.0.3 on u0.

Change: the leader keeps the clock that the heartbeat stated, and the first replies to polls correct its age. A new process under the id doesn't inherit the time of its predecessor's heartbeat.

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -67,6 +67,7 @@
     upstream::includeEarlierCalls(upstreamState);
     upstreamState.clock = {};
     upstreamState.shapeKnown = false;
+    upstreamState.shapeMs = upstreamState.shapeClockMs = 0;
     upstreamState.recordedEnd = upstreamState.proposedEnd = upstreamState.acknowledgedEnd = 0;
     upstreamState.listsRead = false;
     upstreamState.silent = false;
@@ -324,7 +325,7 @@
             addUpstream(leader, entry->second, now);
             UpstreamState &upstreamState = leader.upstreams.at(entry->first);
             upstreamState.sequence = joining->second.sequence;
-            upstreamState.shapeMs = now.monotonicMs;
+            upstream::recordShapeTime(upstreamState, joining->second.clockMs, now.monotonicMs);
             upstream::recordClock(upstreamState, joining->second.clockMs, now.monotonicMs);
             break;
         }
@@ -558,6 +559,7 @@
     upstreamState.lapsedRuns.clear(); // The process didn't crash.
     upstreamState.acknowledgedEnd = std::max(upstreamState.acknowledgedEnd, poll.acknowledge);
     upstream::recordClock(upstreamState, reply.clockMs, now.monotonicMs);
+    upstream::correctShapeTime(upstreamState, now.monotonicMs);
     for (const ListedRun &listed : reply.running) {
         applyListedRun(leader, state, upstreamState, poll, listed, now, output);
     }
--- a/Source/upstream/upstreamstate.cpp
+++ b/Source/upstream/upstreamstate.cpp
@@ -95,7 +95,21 @@
     const ClockSample &clock = upstreamState.clock;
     const std::uint64_t upstreamNowMs = clock.known ? clock.upstreamMs + (nowMs - clock.atMs) : upstreamMs;
     const std::uint64_t ageMs = upstreamMs == 0 ? 0 : upstreamNowMs - std::min(upstreamNowMs, upstreamMs);
-    upstreamState.shapeMs = std::max(upstreamState.shapeMs, nowMs - std::min(nowMs, ageMs));
+    const std::uint64_t sentMs = nowMs - std::min(nowMs, ageMs);
+    if (sentMs >= upstreamState.shapeMs) {
+        upstreamState.shapeMs = sentMs;
+        upstreamState.shapeClockMs = upstreamMs;
+    }
+}
+
+void correctShapeTime(UpstreamState &upstreamState, std::uint64_t nowMs)
+{
+    const ClockSample &clock = upstreamState.clock;
+    if (!clock.known || upstreamState.shapeClockMs == 0 || clock.upstreamMs < upstreamState.shapeClockMs) {
+        return;
+    }
+    const std::uint64_t ageMs = clock.upstreamMs - upstreamState.shapeClockMs + (nowMs - clock.atMs);
+    upstreamState.shapeMs = std::min(upstreamState.shapeMs, nowMs - std::min(nowMs, ageMs));
 }
 
 model::Resources freeCapacity(const UpstreamState &upstreamState)
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -96,6 +96,7 @@
     std::uint64_t nextPollMs = 0;
     std::uint64_t renewedMs = 0; ///< Time of the latest lease renewal.
     std::uint64_t shapeMs = 0; ///< Time of the latest heartbeat, which states the capacity; 0 before the first one.
+    std::uint64_t shapeClockMs = 0; ///< The upstream's clock at that time; 0 if unknown.
     std::map<job::TaskRef, Run> runs;
     bool hasSuspects = false; ///< A run with crashes may not be proven to work well yet.
     std::vector<CrashedRun> lapsedRuns; ///< Runs recorded as lost with the lease. If the process turns out to have crashed, they count as crashed under it.
@@ -167,6 +168,10 @@
  * made; 0 if unknown. @param nowMs time of its arrival, which may be late. */
 void recordShapeTime(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs);
 
+/** Corrects the time of the latest heartbeat after a poll reply has shown the clock: the heartbeat may have been held up before the clock was known.
+ * @param upstreamState the upstream state. @param nowMs time of the reply's arrival. */
+void correctShapeTime(UpstreamState &upstreamState, std::uint64_t nowMs);
+
 /** @param upstreamState the upstream state. @return the capacity that no run occupies. */
 model::Resources freeCapacity(const UpstreamState &upstreamState);
 
--- a/Tests/deployment/capacity.cpp
+++ b/Tests/deployment/capacity.cpp
@@ -210,3 +210,36 @@
     CHECK(completes(fleet, "/0/j1", 20000));
     checkGuarantees(fleet);
 }
+
+/** A new leader took a heartbeat that had been held up for seconds for a new one, since it didn't know the clock of the upstream yet. */
+TEST_CASE(Deployment, ANewLeaderDoesNotFillACapacityStatedByADelayedHeartbeat)
+{
+    Fleet fleet(withUpstreams(1));
+    prepare(fleet);
+    FakeUpstream &upstream = fleet.upstreams[0];
+    const std::string formerLeader = fleet.leader()->id;
+    fleet.setPartitioned(formerLeader, upstream.id, true);
+    fleet.orderFaults.delayedReportShare = 1;
+    fleet.orderFaults.delayMs = 9000;
+    fleet.orderFaults.delaySpreadMs = 1;
+    const std::uint64_t sequence = upstream.sequence;
+    CHECK(fleet.runUntil(
+        [&] {
+            return upstream.sequence > sequence;
+        },
+        2000));
+    const std::uint64_t arrivesMs = fleet.nowMs + fleet.orderFaults.delayMs;
+    upstream.sendsHeartbeats = false;
+    upstream.receivesOrders = false;
+    fleet.setCapacity(upstream, {4000, 64000});
+    fleet.kill(fleet.host(formerLeader));
+    fleet.run(arrivesMs - fleet.nowMs + 100);
+    upstream.receivesOrders = true;
+    fleet.submit("/0/j1", {makeStep(4, 4000, 1000)});
+    fleet.run(4000);
+    checkGuarantees(fleet);
+    fleet.orderFaults = {};
+    upstream.sendsHeartbeats = true;
+    CHECK(completes(fleet, "/0/j1", 20000));
+    checkGuarantees(fleet);
+}
--- a/Tests/upstream/upstreamstate.cpp
+++ b/Tests/upstream/upstreamstate.cpp
@@ -159,6 +159,19 @@
     CHECK_EQUAL(std::uint64_t{2000}, upstreamState.shapeMs);
 }
 
+/** A heartbeat that arrived before the clock was known counted as new, however long it had been held up. */
+TEST_CASE(UpstreamState, AReplyShowsTheAgeOfAnEarlierHeartbeat)
+{
+    upstream::UpstreamState upstreamState;
+    upstream::recordShapeTime(upstreamState, 50000, 10000);
+    upstream::recordClock(upstreamState, 58000, 10100);
+    upstream::correctShapeTime(upstreamState, 10100);
+    CHECK_EQUAL(std::uint64_t{2100}, upstreamState.shapeMs);
+    upstream::recordShapeTime(upstreamState, 58500, 10700);
+    upstream::correctShapeTime(upstreamState, 10700);
+    CHECK_EQUAL(std::uint64_t{10600}, upstreamState.shapeMs);
+}
+
 /** A run that is being stopped may be missing from both lists. */
 TEST_CASE(UpstreamState, AMissingRunIsOverOnceItsStopIs)
 {
