Tests: Draw how upstreams act in random and combined schedules

Each seed draws which reading of the protocol its upstreams follow, whether they refuse or cut off some answers, and whether capacities change. The draws use numbers of their own. The seeds that failed before keep the readings under which they failed.

--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -16,6 +16,40 @@
 using fakes::FleetOptions;
 using fakes::makeStep;
 
+/** What varies between schedules besides the faults. */
+struct Variation
+{
+    fakes::UpstreamBehavior behavior;
+    double busyShare = 0;
+    double cutShare = 0;
+    bool changesCapacities = false;
+};
+
+/** @param seed the seed of a schedule. @return its variation: upstreams act in any way that the protocol leaves open. */
+Variation drawVariation(std::uint64_t seed)
+{
+    constexpr std::uint64_t longStopMs = 900;
+    constexpr double refusedShare = 0.02;
+    std::mt19937_64 random(~seed); // Other numbers than those that draw the schedule.
+    const auto drawn = [&random] {
+        return random() % 2 == 0;
+    };
+    Variation variation;
+    fakes::UpstreamBehavior &behavior = variation.behavior;
+    behavior.maxStopMs = drawn() ? longStopMs : behavior.maxStopMs;
+    behavior.hidesStoppingRuns = drawn();
+    behavior.forgetsAcknowledgedRuns = drawn();
+    behavior.startsUnderAnyLease = drawn();
+    behavior.startsHigherRuns = drawn();
+    behavior.guardsCapacity = drawn();
+    behavior.ticketsExpire = drawn();
+    behavior.waitingPoll = static_cast<fakes::WaitingPoll>(random() % 3);
+    variation.busyShare = drawn() ? refusedShare : 0;
+    variation.cutShare = drawn() ? refusedShare : 0;
+    variation.changesCapacities = drawn();
+    return variation;
+}
+
 /** Injects one random fault. */
 void injectFault(Fleet &fleet, std::mt19937_64 &random)
 {
@@ -78,8 +112,11 @@
     }
 }
 
-/** Runs a stream of jobs with random faults, during which the fleet checks the guarantees. @return the violations; empty for none. */
-std::string runSchedule(std::uint64_t seed, bool couriers)
+/**
+ * Runs a stream of jobs with random faults, during which the fleet checks the guarantees.
+ * @param seed the seed. @param couriers whether entry hosts deliver the orders. @param variation of the upstreams. @return the violations; empty for none.
+ */
+std::string runSchedule(std::uint64_t seed, bool couriers, const Variation &variation)
 {
     FleetOptions options;
     options.minUpstreamsForCouriers = couriers ? 1 : options.minUpstreamsForCouriers;
@@ -87,6 +124,7 @@
     options.seed = seed;
     options.failShare = 0.03;
     options.allowedShare = 0.7;
+    options.upstreamBehavior = variation.behavior;
     Fleet fleet(options);
     fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
     std::mt19937_64 random(seed);
@@ -94,6 +132,8 @@
     CHECK(fleet.putPlan(2, 3, true));
     fleet.orderFaults.delayedShare = 0.04;
     fleet.orderFaults.lostShare = 0.02;
+    fleet.orderFaults.busyShare = variation.busyShare;
+    fleet.orderFaults.cutShare = variation.cutShare;
     int jobs = 0;
     for (int round = 0; round < 24; ++round) {
         for (int i = 0; i < 3; ++i) {
@@ -488,6 +528,19 @@
                                                                    partitionControlHost,
                                                                    loseDisk};
 
+/** Changes the capacity of an upstream, in some rounds. @param fleet the deployment. @param random the source of random numbers. */
+void changeCapacity(Fleet &fleet, std::mt19937_64 &random)
+{
+    constexpr std::uint32_t partMillis = 4000;
+    constexpr std::uint64_t interval = 4;
+    if (random() % interval != 0) {
+        return;
+    }
+    fakes::FakeUpstream &upstream = fleet.upstreams[random() % fleet.upstreams.size()];
+    const auto parts = static_cast<std::uint32_t>(1 + random() % (fleet.options.cpuMillis / partMillis));
+    fleet.setCapacity(upstream, {parts * partMillis, fleet.options.memoryMb});
+}
+
 /** Ends all faults. */
 void heal(MixedSchedule &schedule)
 {
@@ -503,14 +556,18 @@
     for (fakes::FakeUpstream &upstream : fleet.upstreams) {
         upstream.reachable = upstream.receivesOrders = upstream.sendsHeartbeats = true;
         upstream.draining = false;
+        fleet.setCapacity(upstream, {fleet.options.cpuMillis, fleet.options.memoryMb});
         if (!upstream.alive) {
             fleet.restart(upstream);
         }
     }
 }
 
-/** Runs a stream of jobs with combined faults, during which the fleet checks the guarantees. @return the violations; empty for none. */
-std::string runMixedSchedule(std::uint64_t seed)
+/**
+ * Runs a stream of jobs with combined faults, during which the fleet checks the guarantees.
+ * @param seed the seed. @param variation of the upstreams. @return the violations; empty for none.
+ */
+std::string runMixedSchedule(std::uint64_t seed, const Variation &variation)
 {
     FleetOptions options;
     const bool couriers = seed % 2 == 0;
@@ -520,6 +577,7 @@
     options.failShare = 0.06;
     options.allowedShare = 0.85;
     options.crashesBreakGangs = true;
+    options.upstreamBehavior = variation.behavior;
     MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}};
     Fleet &fleet = schedule.fleet;
     fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
@@ -531,9 +589,15 @@
     fleet.orderFaults.unansweredShare = 0.03;
     fleet.orderFaults.slowShare = 0.1;
     fleet.orderFaults.delayedReportShare = 0.03;
+    fleet.orderFaults.busyShare = variation.busyShare;
+    fleet.orderFaults.cutShare = variation.cutShare;
     fleet.hostFaults.maxHeldMs = 1500;
+    std::mt19937_64 capacityRandom(~seed);
     for (int round = 0; round < 30; ++round) {
         callMixedJobs(schedule);
+        if (variation.changesCapacities) {
+            changeCapacity(fleet, capacityRandom);
+        }
         advance(schedule, draw(schedule, 300));
         const std::uint64_t faults = draw(schedule, 4);
         for (std::uint64_t i = 0; i < faults; ++i) {
@@ -580,31 +644,33 @@
 TEST_CASE(Deployment, SchedulesThatFailedBeforeKeepThePromises)
 {
     for (const std::uint64_t seed : {266, 307, 331, 407, 512, 855, 1974, 5470}) {
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), runSchedule(seed, false));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(), runSchedule(seed, false, {}));
     }
     for (const std::uint64_t seed : {29, 4281}) {
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " with couriers", std::string(), runSchedule(seed, true));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " with couriers", std::string(), runSchedule(seed, true, {}));
     }
     for (const std::uint64_t seed : {1266, 1373, 1884, 4428}) {
-        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " of combined faults", std::string(), runMixedSchedule(seed));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + " of combined faults", std::string(), runMixedSchedule(seed, {}));
     }
 }
 
 TEST_CASE(Deployment, RandomSchedulesKeepThePromises)
 {
     runSchedules([](std::uint64_t seed) {
-        return runSchedule(seed, false);
+        return runSchedule(seed, false, drawVariation(seed));
     });
 }
 
 TEST_CASE(Deployment, RandomSchedulesWithCouriersKeepThePromises)
 {
     runSchedules([](std::uint64_t seed) {
-        return runSchedule(seed, true);
+        return runSchedule(seed, true, drawVariation(seed));
     });
 }
 
 TEST_CASE(Deployment, MixedSchedulesKeepThePromises)
 {
-    runSchedules(runMixedSchedule);
+    runSchedules([](std::uint64_t seed) {
+        return runMixedSchedule(seed, drawVariation(seed));
+    });
 }
