--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <utility>
 
 namespace rosemaryturn::deployment::internal
@@ -41,6 +42,12 @@
     output.proposals.push_back(wire::encodeChange(upstreamState.registration));
 }
 
+/** @return whether a start of a run that isn't known to have ended may still be carried out: the only one, if it had no answer, or an earlier copy. */
+bool mayStartLate(const Run &run)
+{
+    return run.startsSent > 1 || (run.startsSent == 1 && !run.located && run.startedAtMs == 0);
+}
+
 /** Raises the fence, so that the upstream refuses all earlier calls. No call is sent until it is committed. */
 void raiseFence(UpstreamState &upstreamState, LeaderOutput &output)
 {
@@ -61,6 +68,7 @@
     upstream::includeEarlierCalls(upstreamState);
     upstreamState.clock = {};
     upstreamState.shapeKnown = false;
+    upstreamState.shapeMs = upstreamState.shapeClockMs = 0;
     upstreamState.recordedEnd = upstreamState.proposedEnd = upstreamState.acknowledgedEnd = 0;
     upstreamState.silent = false;
     upstreamState.gone = false;
@@ -100,13 +108,18 @@
 {
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
+    bool lateStarts = false;
     for (const auto &[task, run] : upstreamState.runs) {
         if (run.phase != RunPhase::Recording && isOver(run)) {
             reportUnlistedEnd(upstreamState, run, cause, output);
             proposeEnd(run, wire::RunEnd::Lost, run.checkpoint, record);
             endedTasks.push_back(task);
+            lateStarts = lateStarts || mayStartLate(run);
         }
     }
+    if (lateStarts && !upstreamState.gone) {
+        raiseFence(upstreamState, output); // A start may still be carried out once the lease is renewed.
+    }
     for (const job::TaskRef &task : endedTasks) {
         releaseRun(leader, upstreamState, task);
     }
@@ -215,6 +228,25 @@
         && a.address == b.address && a.service == b.service;
 }
 
+/** @return the time for which the reply to a poll may be delayed: until the next one can prove that a run is over. */
+std::uint64_t maxWaitMs(const Leader &leader, const UpstreamState &upstreamState, const Now &now)
+{
+    if (!upstreamState.listsRead || upstreamState.silent || upstreamState.runs.empty()) {
+        return 0;
+    }
+    std::uint64_t waitMs = leader.options.pollWaitMs;
+    for (const auto &[task, run] : upstreamState.runs) {
+        if (upstream::awaitsLists(run)) {
+            return 0;
+        }
+        if (run.phase == RunPhase::Voiding || run.phase == RunPhase::Inherited) {
+            const std::uint64_t proofMs = upstream::absenceProofMs(upstreamState, run, leader.options.lease).value_or(0);
+            waitMs = std::min(waitMs, proofMs - std::min(proofMs, now.monotonicMs));
+        }
+    }
+    return waitMs;
+}
+
 void sendPoll(Leader &leader, UpstreamState &upstreamState, const Now &now, LeaderOutput &output)
 {
     UpstreamCall call;
@@ -225,12 +257,8 @@
     call.fence = fenceFor(leader, upstreamState);
     const bool acknowledgementDue = upstreamState.recordedEnd > upstreamState.acknowledgedEnd;
     call.acknowledge = acknowledgementDue && upstream::mayAcknowledge(upstreamState, now.monotonicMs) ? upstreamState.recordedEnd : 0;
-    const bool settled
-        = upstreamState.listsRead && !upstreamState.silent && std::none_of(upstreamState.runs.begin(), upstreamState.runs.end(), [](const auto &entry) {
-              return entry.second.phase == RunPhase::Voiding || upstream::awaitsLists(entry.second);
-          });
     // A poll that acknowledges doesn't wait: while it waits, the upstream may be replaced by a process that numbers its ends anew.
-    call.waitMs = settled && !acknowledgementDue && !upstreamState.runs.empty() ? leader.options.pollWaitMs : 0;
+    call.waitMs = acknowledgementDue ? 0 : maxWaitMs(leader, upstreamState, now);
     // A renewing poll may be carried out although no reply arrives, so polls of a silent upstream don't renew its leases, which expire.
     if (!upstreamState.silent && !upstreamState.runs.empty()) {
         call.leaseUntilMs = upstream::grantLease(upstreamState, leader.options.lease, now.monotonicMs);
@@ -260,7 +288,6 @@
     };
     const std::size_t lost = markRunsLost(leader, upstreamState, isOver, "lease-over", now, output);
     if (lost > 0) {
-        raiseFence(upstreamState, output); // A start may still be carried out once the lease is renewed.
         output.decisions.push_back(
             {"leases-over",
              upstreamState.registration.id,
@@ -388,7 +415,7 @@
             addUpstream(leader, entry->second, now);
             UpstreamState &upstreamState = leader.upstreams.at(entry->first);
             upstreamState.sequence = joining->second.sequence;
-            upstreamState.shapeMs = now.monotonicMs;
+            upstream::recordShapeTime(upstreamState, joining->second.clockMs, now.monotonicMs);
             upstream::recordClock(upstreamState, joining->second.clockMs, now.monotonicMs);
             break;
         }
@@ -487,6 +514,7 @@
                      LeaderOutput &output)
 {
     wire::RunsEndedT record;
+    bool lateStarts = false;
     for (const ListedEnd &end : ends) {
         if (end.number <= upstreamState.proposedEnd) {
             continue;
@@ -522,9 +550,13 @@
                                         "step=" + std::to_string(task.step) + " index=" + std::to_string(task.index) + " run=" + std::to_string(end.run)
                                             + " end=" + wire::EnumNameRunEnd(end.end) + " upstream=" + upstreamState.registration.id});
         }
+        lateStarts = lateStarts || found->second.startsSent > 1;
         releaseRun(leader, upstreamState, task); // The listed end frees its capacity.
         leader.placementNeeded = true;
     }
+    if (lateStarts) {
+        raiseFence(upstreamState, output); // Once the ends are acknowledged, the upstream may not know these runs any more.
+    }
     if (upstreamState.proposedEnd > upstreamState.recordedEnd && !ends.empty()) {
         record.upstream = upstreamState.registration.number;
         record.born = upstreamState.registration.born;
@@ -550,6 +582,7 @@
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
     std::vector<upstream::CrashedRun> crashed;
+    bool lateStarts = false;
     for (auto &[task, run] : upstreamState.runs) {
         if (listed.count(task) > 0) {
             continue;
@@ -557,12 +590,13 @@
         if (run.phase == RunPhase::Starting && run.orderedAtMs < poll.sentMs) {
             run.absentMs = now.monotonicMs;
         }
-        const bool inherited = run.phase == RunPhase::Inherited;
-        const bool vanished = (run.phase == RunPhase::Running || run.phase == RunPhase::Stopping) && run.startedAtMs > 0 && run.startedAtMs < poll.sentMs;
-        const bool voided = run.phase == RunPhase::Voiding && run.stopAnswered && run.stopAnsweredMs < poll.sentMs;
-        if (inherited || vanished || voided) {
+        const std::optional<std::uint64_t> proofMs = upstream::absenceProofMs(upstreamState, run, leader.options.lease);
+        if (proofMs && *proofMs < poll.sentMs) {
+            const bool inherited = run.phase == RunPhase::Inherited;
+            const bool voided = run.phase == RunPhase::Voiding;
             const wire::RunEnd end = voided ? wire::RunEnd::Never : wire::RunEnd::Lost;
             ++(voided ? leader.counters.runsNever : leader.counters.runsLost);
+            lateStarts = lateStarts || mayStartLate(run);
             reportUnlistedEnd(upstreamState, run, inherited ? "absent-inherited" : voided ? "absent-stopped" : "absent-running", output);
             if (run.suspectedCrash != upstream::CrashEvidence::None) {
                 crashed.push_back({task, run.number, run.suspectedCrash == upstream::CrashEvidence::Confirmed});
@@ -571,6 +605,9 @@
             endedTasks.push_back(task);
         }
     }
+    if (lateStarts) {
+        raiseFence(upstreamState, output);
+    }
     for (const job::TaskRef &task : endedTasks) {
         output.decisions.push_back({"run-absent", upstreamState.registration.id, "job=" + std::to_string(task.job) + " index=" + std::to_string(task.index)});
         releaseRun(leader, upstreamState, task);
@@ -622,6 +659,9 @@
     if (upstreamState.silent) {
         output.decisions.push_back({"upstream-answers", upstreamState.registration.id, "runs=" + std::to_string(upstreamState.runs.size())});
     }
+    if (!upstreamState.listsRead) {
+        upstreamState.fencedMs = now.monotonicMs;
+    }
     upstreamState.silent = false;
     upstreamState.listsRead = true;
     upstreamState.unansweredStarts = 0;
@@ -630,6 +670,7 @@
     upstreamState.lapsedRuns.clear(); // The process didn't crash.
     upstreamState.acknowledgedEnd = std::max(upstreamState.acknowledgedEnd, poll.acknowledge);
     upstream::recordClock(upstreamState, reply.clockMs, now.monotonicMs);
+    upstream::correctShapeTime(upstreamState, now.monotonicMs);
     for (const ListedRun &listed : reply.running) {
         applyListedRun(leader, state, upstreamState, poll, listed, now, output);
     }
@@ -704,7 +745,7 @@
 void handleStopReply(Run &run, CallStatus status, const Now &now)
 {
     run.orderPending = false;
-    if (status == CallStatus::Done) {
+    if (status == CallStatus::Done && !run.stopAnswered) {
         run.stopAnswered = true;
         run.stopAnsweredMs = now.monotonicMs;
     }
--- a/Source/upstream/upstreamstate.cpp
+++ b/Source/upstream/upstreamstate.cpp
@@ -57,6 +57,24 @@
     return run.located ? upstreamState.lapseBoundMs : std::max(upstreamState.lapseBoundMs, upstreamState.laterLapseBoundMs);
 }
 
+std::optional<std::uint64_t> absenceProofMs(const UpstreamState &upstreamState, const Run &run, const LeaseTiming &timing)
+{
+    const std::uint64_t stopMs = maxLocalMs(timing.stopMs, timing);
+    switch (run.phase) {
+    case RunPhase::Running:
+        return run.startedAtMs > 0 ? std::optional(run.startedAtMs) : std::nullopt;
+    case RunPhase::Stopping:
+    case RunPhase::Voiding:
+        return run.stopAnswered ? std::optional(run.stopAnsweredMs + stopMs) : std::nullopt;
+    case RunPhase::Inherited: // An earlier leader may have stopped it.
+        return upstreamState.listsRead ? std::optional(upstreamState.fencedMs + stopMs) : std::nullopt;
+    case RunPhase::Recording:
+    case RunPhase::Starting:
+        break;
+    }
+    return std::nullopt;
+}
+
 bool mayAcknowledge(const UpstreamState &upstreamState, std::uint64_t nowMs)
 {
     const bool confirmed = upstreamState.listsRead && !upstreamState.silent && nowMs <= upstreamState.confirmedMs + maxConfirmationAgeMs;
@@ -97,7 +115,21 @@
     const ClockSample &clock = upstreamState.clock;
     const std::uint64_t upstreamNowMs = clock.known ? clock.upstreamMs + (nowMs - clock.atMs) : upstreamMs;
     const std::uint64_t ageMs = upstreamMs == 0 ? 0 : upstreamNowMs - std::min(upstreamNowMs, upstreamMs);
-    upstreamState.shapeMs = std::max(upstreamState.shapeMs, nowMs - std::min(nowMs, ageMs));
+    const std::uint64_t sentMs = nowMs - std::min(nowMs, ageMs);
+    if (sentMs >= upstreamState.shapeMs) {
+        upstreamState.shapeMs = sentMs;
+        upstreamState.shapeClockMs = upstreamMs;
+    }
+}
+
+void correctShapeTime(UpstreamState &upstreamState, std::uint64_t nowMs)
+{
+    const ClockSample &clock = upstreamState.clock;
+    if (!clock.known || upstreamState.shapeClockMs == 0 || clock.upstreamMs < upstreamState.shapeClockMs) {
+        return;
+    }
+    const std::uint64_t ageMs = clock.upstreamMs - upstreamState.shapeClockMs + (nowMs - clock.atMs);
+    upstreamState.shapeMs = std::min(upstreamState.shapeMs, nowMs - std::min(nowMs, ageMs));
 }
 
 model::Resources freeCapacity(const UpstreamState &upstreamState)
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,7 +58,7 @@
     bool located = false; ///< A list of the registered process contained it, so no later process under the id can have begun it.
     CrashEvidence suspectedCrash = CrashEvidence::None; ///< Counts once lists of the process started since don't contain the run.
     bool stopAnswered = false; ///< The upstream confirmed a stop.
-    std::uint64_t stopAnsweredMs = 0; ///< Time of that confirmation.
+    std::uint64_t stopAnsweredMs = 0; ///< Time of the first confirmation.
     bool stopRequested = false; ///< The run is stopped as soon as it is known to be running.
 };
 
@@ -100,12 +101,14 @@
     std::uint64_t proposedEnd = 0; ///< Number of the last end whose record is proposed.
     std::uint64_t acknowledgedEnd = 0; ///< Number of the last end whose acknowledgement the upstream has answered.
     std::uint64_t confirmedMs = 0; ///< Time of the latest lists of the registered process.
+    std::uint64_t fencedMs = 0; ///< Time of the first of these lists; the upstream has carried out no order of an earlier leader since.
     bool pollPending = false; ///< A poll awaits its reply.
     bool acknowledgementPending = false; ///< The pending poll acknowledges ends.
     std::uint64_t pollSentMs = 0;
     std::uint64_t nextPollMs = 0;
     std::uint64_t renewedMs = 0; ///< Time of the latest lease renewal.
     std::uint64_t shapeMs = 0; ///< Time of the latest heartbeat, which states the capacity; 0 before the first one.
+    std::uint64_t shapeClockMs = 0; ///< The upstream's clock at that time; 0 if unknown.
     std::map<job::TaskRef, Run> runs;
     bool hasSuspects = false; ///< A run with crashes may not be proven to work well yet.
     std::vector<CrashedRun> lapsedRuns; ///< Runs recorded as lost with the lease. If the process turns out to have crashed, they count as crashed under it.
@@ -122,6 +125,7 @@
     std::uint64_t marginMs = 100; ///< Added to every bound to cover the rounding of clocks.
     std::uint64_t longestLeaseMs = 10000; ///< Maximum to which an upstream shortens every lease.
     std::uint64_t maxDeliveryMs = 1000; ///< Maximum age at which an order takes effect at an upstream: its maximum age at sending, and the network delay.
+    std::uint64_t stopMs = 200; ///< Maximum time that an upstream takes to stop a run, on its clock.
 };
 
 /** @param durationMs a duration on the upstream's clock. @param timing the lease parameters. @return its maximum duration on the local clock. */
@@ -153,6 +157,13 @@
 /** @param upstreamState the upstream state. @param run a run of it. @return the local time by which the run has ended unless the lease is renewed again. */
 std::uint64_t lapseBoundOf(const UpstreamState &upstreamState, const Run &run);
 
+/**
+ * Decides which lists prove that a run which is missing from them is over. A run that is being stopped may be in neither list until its end is listed.
+ * @param upstreamState the upstream state. @param run a run of it. @param timing the lease parameters.
+ * @return the local time after which the poll for the lists must have been sent; nothing if no list proves it yet.
+ */
+std::optional<std::uint64_t> absenceProofMs(const UpstreamState &upstreamState, const Run &run, const LeaseTiming &timing);
+
 /**
  * Decides whether the recorded ends may be acknowledged. Numbers of ends start anew with each process, so that a process started since would forget its own
  * ends up to the acknowledged number. This is excluded while the registered process answered just before and every run that was started is known to be one of
@@ -189,6 +200,10 @@
  * made; 0 if unknown. @param nowMs time of its arrival, which may be late. */
 void recordShapeTime(UpstreamState &upstreamState, std::uint64_t upstreamMs, std::uint64_t nowMs);
 
+/** Corrects the time of the latest heartbeat after a poll reply has shown the clock: the heartbeat may have been held up before the clock was known.
+ * @param upstreamState the upstream state. @param nowMs time of the reply's arrival. */
+void correctShapeTime(UpstreamState &upstreamState, std::uint64_t nowMs);
+
 /** @param upstreamState the upstream state. @return the capacity that no run occupies. */
 model::Resources freeCapacity(const UpstreamState &upstreamState);
 
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -208,9 +208,11 @@
         CHECK(stop.id != 0);
         answer(test, stop, CallStatus::Done);
         const std::vector<ListedRun> running = began ? std::vector{listedRun(start)} : std::vector<ListedRun>{};
-        answerPoll(test, takeCall(test, CallKind::Poll, "u0"), born + 1000, running); // Sent before the stop was answered.
-        pass(test, 200);
-        answerPoll(test, takeCall(test, CallKind::Poll, "u0"), born + 1000, running);
+        constexpr int polls = 4; // The first ones are sent before the stop can be over.
+        for (int i = 0; i < polls; ++i) {
+            answerPoll(test, takeCall(test, CallKind::Poll, "u0"), born + 1000, running);
+            pass(test, 200);
+        }
         CHECK_EQUAL(began ? 0U : 1U, taskOf(test, "j").crashes);
     }
 }
@@ -235,8 +237,8 @@
     CHECK(run.located);
 }
 
-/** Guards against runs that are never lost: a process whose start time was lower than that of the one before answered the polls, which went on to renew the
- * lease. */
+/** Guards against runs that are never lost: a process whose start time was lower than that of the one before answered the calls, and the polls went on to renew
+ * the lease. */
 TEST_CASE(Leader, RunsAreLostWhenAProcessWithAnEarlierStartTimeAnswers)
 {
     LeaderTest test = makeLeader({"u0"});
@@ -246,6 +248,10 @@
     constexpr int maxPasses = 1000;
     for (int i = 0; i < maxPasses && taskOf(test, "j").activeRun != 0; ++i) {
         pass(test, 20);
+        const UpstreamCall stop = takeCall(test, CallKind::Stop, "u0");
+        if (stop.id != 0) {
+            answer(test, stop, CallStatus::Done);
+        }
         const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
         if (poll.id != 0) {
             answerPoll(test, poll, born - 1000);
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -22,14 +23,18 @@
 /** Faults that are injected into orders to upstreams. */
 struct OrderFaults
 {
-    double delayedShare = 0; ///< Share of the orders that get no answer and are carried out 2 to 12 s later.
+    double delayedShare = 0; ///< Share of the orders that get no answer and are carried out later.
+    std::uint64_t delayMs = 2000; ///< Time after which they are carried out.
+    std::uint64_t delaySpreadMs = 10000; ///< Maximum time that is added to it.
     double lostShare = 0; ///< Share of the orders that get no answer and are never carried out.
     bool startsOnly = false; ///< Whether stops and polls are exempt.
     double unansweredShare = 0; ///< Share of the orders that are carried out but get no answer.
     double slowShare = 0; ///< Share of the orders that take up to maxTransitMs more on their way or whose answers do.
     std::uint64_t maxTransitMs = 500;
-    double delayedReportShare = 0; ///< Share of the heartbeats and departures that reach their host 2 to 12 s later.
+    double delayedReportShare = 0; ///< Share of the heartbeats and departures that reach their host as much later.
     double strangeReportShare = 0; ///< Share of the heartbeats after which one of another sender, of an earlier process, or a copy follows.
+    double busyShare = 0; ///< Share of the orders that an unhealthy upstream refuses without any effect.
+    double cutShare = 0; ///< Share of the orders that are carried out and whose answers lack their body.
 };
 
 /** Faults that are injected into the messages between hosts. */
@@ -39,6 +44,28 @@
     bool keepsUnsyncedWrites = false; ///< Whether a host that is killed may find some of the writes that weren't synced; they are in order, as in a journal.
 };
 
+/** When a poll that waits for an end is applied and its lists are made. */
+enum class WaitingPoll {
+    AtBoth, ///< On its arrival and again when it is answered.
+    AtArrival,
+    AtAnswer,
+};
+
+/** How upstreams act where the upstream protocol leaves a choice; times in milliseconds. */
+struct UpstreamBehavior
+{
+    std::uint64_t minStopMs = 100;
+    std::uint64_t maxStopMs = 100;
+    bool hidesStoppingRuns = false; ///< A run that is being stopped is in neither list.
+    bool forgetsAcknowledgedRuns = false; ///< An acknowledged end doesn't make the upstream refuse later starts of its run.
+    bool startsUnderAnyLease = false; ///< A start whose own lease is over is refused only if that of the upstream is over too.
+    bool startsHigherRuns = false; ///< A start isn't refused because a lower run of its task is there.
+    bool lapsesOnlyWithRuns = false; ///< A lease that expires while nothing runs doesn't count as lapsed.
+    bool guardsCapacity = false; ///< A start that exceeds the capacity is refused.
+    bool ticketsExpire = false; ///< A ticket is refused once its validity is over, and by later processes.
+    WaitingPoll waitingPoll = WaitingPoll::AtBoth;
+};
+
 /** Configuration of a fleet; times in milliseconds. */
 struct FleetOptions
 {
@@ -59,6 +86,7 @@
     std::uint64_t crashedForMs = 3000; ///< Time until an upstream that a task crashed is back.
     bool crashesBreakGangs = false; ///< Whether the crash of an upstream under a member of a gang breaks the others.
     bool newIdAfterCrash = false; ///< Whether it comes back as a new upstream at the same address.
+    UpstreamBehavior upstreamBehavior;
 };
 
 /** A run on a fake upstream. */
@@ -71,6 +99,7 @@
     std::uint64_t gangDeadlineMs = 0; ///< For a gang: when it stops waiting for the other members.
     bool waiting = false; ///< Whether it waits for other members of its gang.
     bool failing = false;
+    bool stopping = false; ///< Whether it is being stopped.
 };
 
 /** What an upstream has for its runs. */
@@ -244,6 +273,7 @@
     ReplySink replyDirectly(const FakeHost &self);
     ReplySink replyThroughCourier(const FakeHost &courier, const std::string &leader, std::uint64_t origin);
     void deliverOrders(const FakeHost &self, const std::string &courier, const deployment::OrderBatch &delivery);
+    void carryOutLate(const deployment::UpstreamCall &call, std::uint64_t incarnation);
     void callUpstream(FakeHost &self, const deployment::UpstreamCall &call, const ReplySink &answer);
     void executeCall(const deployment::UpstreamCall &call, const std::function<void(const deployment::UpstreamReply &)> &reply);
     deployment::UpstreamReply startRun(FakeUpstream &upstream, const deployment::UpstreamCall &call);
@@ -252,6 +282,11 @@
     void returnAfterCrash(FakeUpstream &upstream);
     FakeCapacity countedCapacity(const FakeUpstream &upstream) const;
     deployment::UpstreamReply pollRuns(FakeUpstream &upstream, const deployment::UpstreamCall &call);
+    void waitForEnd(FakeUpstream &upstream, const deployment::UpstreamCall &call, const std::optional<deployment::UpstreamReply> &answer,
+                    const std::function<void(const deployment::UpstreamReply &)> &reply);
+    std::string ticketFor(const std::string &step, const std::string &upstream) const;
+    bool acceptsTicket(const FakeUpstream &upstream, const deployment::UpstreamCall &call) const;
+    bool hasRoomFor(const FakeUpstream &upstream, const wire::StepSpecT &step) const;
     void endGang(const FakeRun &run, wire::RunEnd end);
     void endRun(FakeUpstream &upstream, const std::string &name, wire::RunEnd end);
     void tickUpstream(FakeUpstream &upstream);
--- a/Tests/upstream/upstreamstate.cpp
+++ b/Tests/upstream/upstreamstate.cpp
@@ -159,6 +159,41 @@
     CHECK_EQUAL(std::uint64_t{2000}, upstreamState.shapeMs);
 }
 
+/** A heartbeat that arrived before the clock was known counted as new, however long it had been held up. */
+TEST_CASE(UpstreamState, AReplyShowsTheAgeOfAnEarlierHeartbeat)
+{
+    upstream::UpstreamState upstreamState;
+    upstream::recordShapeTime(upstreamState, 50000, 10000);
+    upstream::recordClock(upstreamState, 58000, 10100);
+    upstream::correctShapeTime(upstreamState, 10100);
+    CHECK_EQUAL(std::uint64_t{2100}, upstreamState.shapeMs);
+    upstream::recordShapeTime(upstreamState, 58500, 10700);
+    upstream::correctShapeTime(upstreamState, 10700);
+    CHECK_EQUAL(std::uint64_t{10600}, upstreamState.shapeMs);
+}
+
+/** A run that is being stopped may be missing from both lists. */
+TEST_CASE(UpstreamState, AMissingRunIsOverOnceItsStopIs)
+{
+    const upstream::LeaseTiming timing; // A stop takes 200 ms, on a clock that may be 2% slow, and the margin is 100 ms.
+    upstream::UpstreamState upstreamState;
+    upstream::Run run;
+    CHECK(!upstream::absenceProofMs(upstreamState, run, timing));
+    run.phase = upstream::RunPhase::Running;
+    run.startedAtMs = 1000;
+    CHECK_EQUAL(std::uint64_t{1000}, upstream::absenceProofMs(upstreamState, run, timing).value_or(0));
+    run.phase = upstream::RunPhase::Stopping;
+    CHECK(!upstream::absenceProofMs(upstreamState, run, timing));
+    run.stopAnswered = true;
+    run.stopAnsweredMs = 2000;
+    CHECK_EQUAL(std::uint64_t{2304}, upstream::absenceProofMs(upstreamState, run, timing).value_or(0));
+    run.phase = upstream::RunPhase::Inherited;
+    CHECK(!upstream::absenceProofMs(upstreamState, run, timing));
+    upstreamState.listsRead = true;
+    upstreamState.fencedMs = 3000;
+    CHECK_EQUAL(std::uint64_t{3304}, upstream::absenceProofMs(upstreamState, run, timing).value_or(0));
+}
+
 TEST_CASE(UpstreamState, ASuspectIsUnprovenUntilItHasRunForAWhile)
 {
     upstream::UpstreamState upstreamState;
