deployment: Don't count a refused start as a copy under way

What callers could see: tasks that wait, as starts are refused again and again.

Cause: a start that was refused for a lower fence, or as late, counted as a copy that may be carried out later. The end of its run then raised the fence, which refused the starts under way, whose ends raised it again.

Change: a refused start isn't counted.

Test: Leader.ARefusedStartDoesNotRaiseTheFenceWithTheEndOfItsRun, failing before (the fence was raised).

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -711,8 +711,9 @@
         ++leader.counters.startsUnanswered;
         ++upstreamState.unansweredStarts;
         return; // Sent again by tickRuns().
-    case CallStatus::Fenced: // There is a newer leader; this one learns of it from the log.
+    case CallStatus::Fenced: // Sent before the fence was raised, or there is a newer leader, which the log will show.
     case CallStatus::TooLate: // The clock sample was stale; sent again with a new one.
+        run.startsSent -= run.startsSent > 0 ? 1 : 0; // A refused start is no copy that may be carried out late.
         return;
     case CallStatus::Outdated:
     case CallStatus::NoCapacity:
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -281,3 +281,24 @@
     }
     CHECK(taskOf(test, "j").activeRun != start.run); // It may have been placed again.
 }
+
+/** Guards against a fence that rises without end: a start that the raised fence refused was counted as a copy under way, so that the end of its run raised the
+ * fence again, which refused the next starts. */
+TEST_CASE(Leader, ARefusedStartDoesNotRaiseTheFenceWithTheEndOfItsRun)
+{
+    LeaderTest test = makeLeader({"u0"});
+    answer(test, startTask(test, "j"), CallStatus::Fenced);
+    pass(test, 500);
+    const UpstreamCall second = takeCall(test, CallKind::Start, "u0");
+    CHECK(second.id != 0);
+    answer(test, second, CallStatus::Done);
+    UpstreamReply reply;
+    reply.id = takeCall(test, CallKind::Poll, "u0").id;
+    reply.status = CallStatus::Done;
+    reply.incarnation = born;
+    reply.hasLists = true;
+    reply.ended = {listedEnd(second, 1)};
+    deliverReply(test, std::move(reply));
+    CHECK(test.leader.placements.empty());
+    CHECK_EQUAL(std::uint32_t{0}, test.leader.upstreams.begin()->second.registration.fenceStep);
+}
