deployment: Count the time for inherited runs from the first lists only

What callers could see: a job that doesn't end (LOST).

Cause: an inherited run that lists lack is over a stop's maximum time after the first lists that the leader read. That time started anew whenever the lists had to be read again, as after each late heartbeat of an earlier process.

Change: it counts from the first lists of this leader.

Test: Leader.LateHeartbeatsDoNotKeepAnAbsentInheritedRun, failing before (the run is active after 3 s).

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -663,7 +663,7 @@
     if (upstreamState.silent) {
         output.decisions.push_back({"upstream-answers", upstreamState.registration.id, "runs=" + std::to_string(upstreamState.runs.size())});
     }
-    if (!upstreamState.listsRead) {
+    if (upstreamState.fencedMs == 0) {
         upstreamState.fencedMs = now.monotonicMs;
     }
     upstreamState.silent = false;
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -102,7 +102,7 @@
     std::uint64_t proposedEnd = 0; ///< Number of the last end whose record is proposed.
     std::uint64_t acknowledgedEnd = 0; ///< Number of the last end whose acknowledgement the upstream has answered.
     std::uint64_t confirmedMs = 0; ///< Time of the latest lists of the registered process.
-    std::uint64_t fencedMs = 0; ///< Time of the first of these lists; the upstream has carried out no order of an earlier leader since.
+    std::uint64_t fencedMs = 0; ///< Time of the first lists that this leader read; the upstream has carried out no order of an earlier leader since.
     bool pollPending = false; ///< A poll awaits its reply.
     bool acknowledgementPending = false; ///< The pending poll acknowledges ends.
     std::uint64_t pollSentMs = 0;
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -302,3 +302,28 @@
     CHECK(test.leader.placements.empty());
     CHECK_EQUAL(std::uint32_t{0}, test.leader.upstreams.begin()->second.registration.fenceStep);
 }
+
+/** Guards against inherited runs that never end: each late heartbeat of an earlier process had the lists read again, from which the time of a stop counted. */
+TEST_CASE(Leader, LateHeartbeatsDoNotKeepAnAbsentInheritedRun)
+{
+    LeaderTest before = makeLeader({"u0"});
+    startTask(before, "j");
+    LeaderTest test;
+    test.state = before.state;
+    test.now = before.now;
+    beginLeading(test, term + 1);
+    constexpr int passes = 150;
+    constexpr int heartbeatEvery = 10;
+    for (int i = 0; i < passes; ++i) {
+        pass(test, 20);
+        if (i % heartbeatEvery == 0) {
+            deliverHeartbeat(test, "u0", born - 1000, "a-u0");
+        }
+        const UpstreamCall poll = takeCall(test, CallKind::Poll, "u0");
+        if (poll.id != 0) {
+            answerPoll(test, poll, born);
+        }
+    }
+    const job::Task &task = taskOf(test, "j");
+    CHECK(task.activeRun == 0 || task.run > 1); // It may have been placed again.
+}
