deployment: Move no process that has answered at its address

What callers could see: a task that runs twice.

Cause: a heartbeat with another address for the same process was believed if no plan named the registered service, which was meant for what another sender had said before the first plan. A plan that drops a service made it true for running processes: the calls went to the other address, and the refusal there ended the runs.

Change: a process that has answered polls keeps its address, whatever the plan names.

Test: Leader.AHeartbeatMovesNoProcessWhoseServiceAPlanHasDropped, failing before (the address changed).

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -70,6 +70,7 @@
     upstreamState.shapeKnown = false;
     upstreamState.shapeMs = upstreamState.shapeClockMs = 0;
     upstreamState.recordedEnd = upstreamState.proposedEnd = upstreamState.acknowledgedEnd = 0;
+    upstreamState.confirmedMs = 0;
     upstreamState.silent = false;
     upstreamState.gone = false;
     upstreamState.pollPending = false;
@@ -203,10 +204,19 @@
            });
 }
 
-/** @return whether a heartbeat isn't of the process that it names: a process keeps its address and service until it ends. */
-bool contradictsProcess(const wire::UpstreamSeenT &seen, const wire::UpstreamSeenT &registered)
+/**
+ * A process keeps its address and service until it ends. What was registered may be another sender's, of a service that no plan names, until the process has
+ * answered at the address.
+ * @return whether a heartbeat isn't of the process that it names.
+ */
+bool contradictsProcess(const job::State &state, const UpstreamState &upstreamState, const wire::UpstreamSeenT &seen)
 {
-    return seen.born != 0 && seen.born == registered.born && (seen.address != registered.address || seen.service != registered.service);
+    const wire::UpstreamSeenT &registered = upstreamState.registration;
+    if (seen.born == 0 || seen.born != registered.born) {
+        return false;
+    }
+    const bool serviceNamed = isNamedService(state, registered.service);
+    return (seen.address != registered.address && (serviceNamed || upstreamState.confirmedMs > 0)) || (seen.service != registered.service && serviceNamed);
 }
 
 /** @return whether a heartbeat describes an upstream to use. Others may send heartbeats too; an upstream whose service a later plan drops is still used. */
@@ -216,10 +226,9 @@
     if (known == leader.upstreamNumbers.end()) {
         return isNamedService(state, seen.service);
     }
-    const wire::UpstreamSeenT &registered = leader.upstreams.at(known->second).registration;
-    // A service that isn't named is what another sender said before the first plan, or a plan has dropped it.
-    const bool contradicts = contradictsProcess(seen, registered) && isNamedService(state, registered.service);
-    return (seen.service == registered.service || isNamedService(state, seen.service)) && !contradicts;
+    const UpstreamState &upstreamState = leader.upstreams.at(known->second);
+    const bool isKnownService = seen.service == upstreamState.registration.service || isNamedService(state, seen.service);
+    return isKnownService && !contradictsProcess(state, upstreamState, seen);
 }
 
 bool sameShape(const wire::UpstreamSeenT &a, const wire::UpstreamSeenT &b)
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -327,3 +327,15 @@
     const job::Task &task = taskOf(test, "j");
     CHECK(task.activeRun == 0 || task.run > 1); // It may have been placed again.
 }
+
+/** Guards against runs that are ended by the refusal of a process at another address: once no plan named the service, a heartbeat could move a running process.
+ */
+TEST_CASE(Leader, AHeartbeatMovesNoProcessWhoseServiceAPlanHasDropped)
+{
+    LeaderTest test = makeLeader({"u0"});
+    const UpstreamCall start = startTask(test, "j"); // Its plan names no service.
+    answer(test, start, CallStatus::Done);
+    answerNextPoll(test, {listedRun(start)});
+    deliverHeartbeat(test, "u0", born, "a-other");
+    CHECK_EQUAL(std::string("a-u0"), test.leader.upstreams.begin()->second.registration.address);
+}
