deployment: Split the evaluation of lists, count ignored heartbeats

No change of behaviour, but for the metric rosemaryturn_heartbeats_ignored_total: the counter existed and wasn't exported.

--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -58,6 +58,7 @@
     appendMetric(text, "upstreams_crashed_total", counters.upstreamsCrashed);
     appendMetric(text, "runs_crashed_total", counters.runsCrashed);
     appendMetric(text, "jobs_given_up_total", counters.jobsGivenUp);
+    appendMetric(text, "heartbeats_ignored_total", counters.badHeartbeats);
     appendHistogram(text, "step_wait_ms", counters.stepWaits);
     appendHistogram(text, "start_answer_ms", counters.startAnswers);
 }
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -133,7 +133,7 @@
  * Handles the end of an upstream's process after another one took its address: its runs are lost. A run that no list showed is stopped until a call that was
  * sent long enough after its start finds the other upstream, since the process may have come back.
  * @param leader the leader state. @param upstreamState the upstream state. @param cause for the log. @param sentMs time at which the call was sent that found
- * the other upstream; 0 for a heartbeat, which may be delayed. @param now the current time. @param output receives the effects.
+ * the other upstream. @param now the current time. @param output receives the effects.
  */
 void endIncarnation(Leader &leader, UpstreamState &upstreamState, const char *cause, std::uint64_t sentMs, const Now &now, LeaderOutput &output)
 {
@@ -575,20 +575,51 @@
     }
 }
 
-/** Ends the runs that are missing from lists made after their start was confirmed, after their stop, or after the upstream was fenced. */
-void endUnlistedRuns(Leader &leader, UpstreamState &upstreamState, const PendingCall &poll, const UpstreamReply &reply, const job::State &state, const Now &now,
-                     LeaderOutput &output)
+/** @return the tasks of the listed runs that are known. */
+std::set<job::TaskRef> listedTasks(const job::State &state, const std::vector<ListedRun> &running)
 {
-    if (reply.ended.size() >= maxListedEnds) {
-        return;
-    }
     std::set<job::TaskRef> listed;
-    for (const ListedRun &run : reply.running) {
+    for (const ListedRun &run : running) {
         const auto number = state.jobNumberById.find(run.job);
         if (number != state.jobNumberById.end()) {
             listed.insert({number->second, run.task.occurrence, run.task.step, run.task.index});
         }
     }
+    return listed;
+}
+
+/** Records that the lists of a poll don't contain a run. */
+void recordAbsence(Run &run, const PendingCall &poll, const Now &now)
+{
+    if (run.phase == RunPhase::Starting && run.orderedAtMs < poll.sentMs) {
+        run.absentMs = now.monotonicMs;
+    }
+    if (run.phase == RunPhase::Running && run.missingMs == 0 && run.startedAtMs < poll.sentMs) {
+        run.missingMs = now.monotonicMs;
+    }
+}
+
+/** @param phase of a run that lists prove to be over. @return the cause for the log. */
+const char *absenceCause(RunPhase phase)
+{
+    switch (phase) {
+    case RunPhase::Inherited:
+        return "absent-inherited";
+    case RunPhase::Voiding:
+        return "absent-stopped";
+    default:
+        return "absent-running";
+    }
+}
+
+/** Ends the runs that are missing from lists made after their start was confirmed, after their stop, or after the upstream was fenced. */
+void endUnlistedRuns(Leader &leader, UpstreamState &upstreamState, const PendingCall &poll, const UpstreamReply &reply, const job::State &state, const Now &now,
+                     LeaderOutput &output)
+{
+    if (reply.ended.size() >= maxListedEnds) {
+        return;
+    }
+    const std::set<job::TaskRef> listed = listedTasks(state, reply.running);
     wire::RunsEndedT record;
     std::vector<job::TaskRef> endedTasks;
     std::vector<upstream::CrashedRun> crashed;
@@ -597,20 +628,14 @@
         if (listed.count(task) > 0) {
             continue;
         }
-        if (run.phase == RunPhase::Starting && run.orderedAtMs < poll.sentMs) {
-            run.absentMs = now.monotonicMs;
-        }
-        if (run.phase == RunPhase::Running && run.missingMs == 0 && run.startedAtMs < poll.sentMs) {
-            run.missingMs = now.monotonicMs;
-        }
+        recordAbsence(run, poll, now);
         const std::optional<std::uint64_t> proofMs = upstream::absenceProofMs(upstreamState, run, leader.options.lease);
         if (proofMs && *proofMs < poll.sentMs) {
-            const bool inherited = run.phase == RunPhase::Inherited;
             const bool voided = run.phase == RunPhase::Voiding;
             const wire::RunEnd end = voided ? wire::RunEnd::Never : wire::RunEnd::Lost;
             ++(voided ? leader.counters.runsNever : leader.counters.runsLost);
             lateStarts = lateStarts || mayStartLate(run);
-            reportUnlistedEnd(upstreamState, run, inherited ? "absent-inherited" : voided ? "absent-stopped" : "absent-running", output);
+            reportUnlistedEnd(upstreamState, run, absenceCause(run.phase), output);
             if (run.suspectedCrash != upstream::CrashEvidence::None) {
                 crashed.push_back({task, run.number, run.suspectedCrash == upstream::CrashEvidence::Confirmed});
             }
