Tests: Share the steps that send a delayed start

Three cases on starts that are carried out late set the same faults, submitted a job and waited for its first start.

--- a/Tests/deployment/upstreams.cpp
+++ b/Tests/deployment/upstreams.cpp
@@ -1,6 +1,8 @@
 #include "deployment/fleettesting.h"
 
 #include <cstdint>
+#include <string>
+#include <vector>
 
 namespace
 {
@@ -13,6 +15,24 @@
 /** Processor time that a whole upstream has. */
 constexpr std::uint32_t wholeCpuMillis = 16000;
 
+/**
+ * Submits a job and waits until its first start was sent, which is carried out later.
+ * @param fleet the deployment. @param path of the job. @param steps of the job. @param delayMs the delay of the start.
+ */
+void sendDelayedStart(Fleet &fleet, const std::string &path, const std::vector<wire::StepSpecT> &steps, std::uint64_t delayMs)
+{
+    fleet.orderFaults.startsOnly = true;
+    fleet.orderFaults.delayedShare = 1;
+    fleet.orderFaults.delayMs = delayMs;
+    fleet.orderFaults.delaySpreadMs = 1;
+    fleet.submit(path, steps);
+    CHECK(fleet.runUntil(
+        [&] {
+            return fleet.startsSent == 1;
+        },
+        2000));
+}
+
 /** @param stopMs the time that a stop takes. @return the options of a fleet whose only upstream doesn't list a run that is being stopped. */
 FleetOptions withHiddenStops(std::uint64_t stopMs)
 {
@@ -90,15 +110,7 @@
     options.upstreamBehavior.forgetsAcknowledgedRuns = true;
     Fleet fleet(options);
     prepare(fleet);
-    fleet.orderFaults.startsOnly = true;
-    fleet.orderFaults.delayedShare = 1;
-    fleet.orderFaults.delaySpreadMs = 1;
-    fleet.submit("/0/j1", {makeStep(1, 1000, 300)});
-    CHECK(fleet.runUntil(
-        [&] {
-            return fleet.startsSent == 1;
-        },
-        2000));
+    sendDelayedStart(fleet, "/0/j1", {makeStep(1, 1000, 300)}, 2000);
     fleet.orderFaults = {};
     CHECK(completes(fleet, "/0/j1", 1900)); // By the second copy; the first one follows after 2 s.
     fleet.run(3000);
@@ -112,16 +124,7 @@
     options.upstreamBehavior.startsUnderAnyLease = true;
     Fleet fleet(options);
     prepare(fleet);
-    fleet.orderFaults.startsOnly = true;
-    fleet.orderFaults.delayedShare = 1;
-    fleet.orderFaults.delayMs = 25000;
-    fleet.orderFaults.delaySpreadMs = 1;
-    fleet.submit("/0/lost", {makeStep(1, wholeCpuMillis, 60000)});
-    CHECK(fleet.runUntil(
-        [&] {
-            return fleet.startsSent == 1;
-        },
-        2000));
+    sendDelayedStart(fleet, "/0/lost", {makeStep(1, wholeCpuMillis, 60000)}, 25000);
     const bool first = fleet.leader()->host->leader.placements.begin()->second == 1;
     fakes::FakeUpstream &upstream = fleet.upstreams[first ? 0 : 1];
     upstream.reachable = false;
@@ -141,16 +144,7 @@
     options.upstreamBehavior.forgetsAcknowledgedRuns = true;
     Fleet fleet(options);
     prepare(fleet);
-    fleet.orderFaults.startsOnly = true;
-    fleet.orderFaults.delayedShare = 1;
-    fleet.orderFaults.delayMs = 4500;
-    fleet.orderFaults.delaySpreadMs = 1;
-    fleet.submit("/0/j1", {makeStep(1, 1000, 300)});
-    CHECK(fleet.runUntil(
-        [&] {
-            return fleet.startsSent == 1;
-        },
-        2000));
+    sendDelayedStart(fleet, "/0/j1", {makeStep(1, 1000, 300)}, 4500);
     fleet.orderFaults.delayedShare = 0;
     fleet.orderFaults.busyShare = 1;
     CHECK(fleet.runUntil(
