--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import warnings
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 FRONT, READY, CONTROL, PEER = 8161, 8167, 8166, 7720
@@ -479,6 +480,7 @@
 
 def run_case(case_folder, scenario, **options):
     """Runs a scenario. Ends with 1 if it returns a broken rule, 0 if it returns nothing, 2 if the case couldn't run."""
+    warnings.simplefilter("ignore")
     logging.getLogger("asyncio").setLevel(logging.CRITICAL + 1)  # Tasks of the stand-ins are still pending when a case ends.
     cluster = Cluster(case_folder, **options)
 
