--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,7 @@
 from deployment import BOUNDS, CONTROL, TROUBLE, now, plan, request, route, run_case  # noqa: E402
 
 BEFORE, CHAIN = "ee0e7a21d94b36f8", "ff0e7a21d94b36f8"
-STEPS = 32
+STEPS = 36
 WATCH_S = 45.0
 
 
