--- a/review/standins-2/rt.py
+++ b/review/standins-2/rt.py
@@ -496,6 +496,7 @@
         async with asyncio.timeout(110):
             return await case(system)
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # So that the processes are ended as well.
     status = NOT_RUN
     try:
         system = System(record, **options)
