--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standins-2"))
@@ -11,9 +10,11 @@
 
 LARGE_JOBS = 55
 TASKS = 20000
-SMALL_JOBS = 4500  # Each is at least one record; a snapshot is made every 4000 records.
-CALLERS = 24
-READ_S = 20
+SMALL_JOBS = 1700  # About three records each; a snapshot is made every 4000 records.
+LARGE_A_SECOND = 1.84  # The rates of the site: stand-render, and less than cut-list and hall-check together (42.8).
+SMALL_A_SECOND = 40.0
+SMALL_AFTER_S = 15.0
+READ_S = 10
 
 
 async def case(system):
@@ -24,26 +25,20 @@
     large = [f"{0xa000 + number:016x}" for number in range(LARGE_JOBS)]
     small = [f"{0xb000 + number:016x}" for number in range(SMALL_JOBS)]
     step = {"count": TASKS, "cpu": 10, "memMb": 16, "estimatedDurationMs": 100000, "antiAffinity": 1}
-    for job in large:
-        if not await client.submit(job, {"spec": "large", "steps": [step]}):
-            raise CannotRun("a large job wasn't accepted")
-    for _ in range(60):
-        begun = {start[1].split(".")[0] for worker in workers for start in worker.starts}
-        if begun >= set(large):
-            break
-        await asyncio.sleep(0.5)
-    system.record.note(f"large jobs that have begun={len(begun)}")
-    accepted = list(large)
-
-    async def call(jobs):
-        while jobs:
-            job = jobs.pop()
-            if await client.submit(job, {"spec": "small", "steps": [{"count": 1, "cpu": 100, "memMb": 16, "estimatedDurationMs": 50}]}, quiet=True):
-                accepted.append(job)
-
-    waiting = list(small)
-    await asyncio.gather(*[call(waiting) for _ in range(CALLERS)])
-    system.record.note(f"accepted jobs={len(accepted)}")
+    accepted = []
+
+    async def send(job, spec, job_step, delay):
+        await asyncio.sleep(delay)
+        if await client.submit(job, {"spec": spec, "steps": [job_step]}, quiet=True):
+            accepted.append(job)
+
+    short = {"count": 1, "cpu": 100, "memMb": 16, "estimatedDurationMs": 50}
+    await asyncio.gather(*[send(job, "large", step, number / LARGE_A_SECOND) for number, job in enumerate(large)],
+                         *[send(job, "small", short, SMALL_AFTER_S + number / SMALL_A_SECOND) for number, job in enumerate(small)])
+    begun = {start[1].split(".")[0] for worker in workers for start in worker.starts} & set(large)
+    system.record.note(f"accepted jobs={len(accepted)}; large jobs that have begun={len(begun)}")
+    if len(accepted) < LARGE_JOBS + SMALL_JOBS or len(begun) < LARGE_JOBS:
+        raise CannotRun("the jobs weren't all accepted or begun")
     await asyncio.sleep(5)
     for node in system.controls:
         with open(f"/proc/{node.process.pid}/status", encoding="utf-8") as file:
@@ -58,7 +53,7 @@
     await asyncio.sleep(12)  # recoverS.
     read = await client.get_config(READ_S)
     system.record.note(f"configuration read back: {'none' if read is None else 'version ' + str(read['version'])}; version 7 was acknowledged")
-    states = {job: await client.state(job, seconds=3) for job in (large[0], large[-1], accepted[-1])}
+    states = {job: await client.state(job, seconds=2) for job in (large[0], large[-1], accepted[-1])}
     system.record.note(f"states after the restart: {states}")
     lost_config = read is None or read["version"] < 7
     lost_jobs = all(state in (None, 410) for state in states.values())
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -18,7 +18,7 @@
 WORKERS = 6
 ALLOWED = 2  # Workers that the policy allows for a step.
 CYCLES = 9  # At most: they end once a leader has used advice that was given to an earlier process.
-JOBS_A_CYCLE = 60
+JOBS_A_CYCLE = 60  # In one second: below the burst of the site, 2.2 times 38.5 hall-checks a second.
 TASK_S = 1.0
 FINISH_S = 14
 IDLE_S = 8.0  # The rule asks for 3 s.
@@ -112,7 +112,8 @@
     client = await prepare(system, workers, plan)
     accepted = []
 
-    async def submit(number):
+    async def submit(number, delay):
+        await asyncio.sleep(delay)
         job = f"{number:016x}"
         step = {"count": 1, "cpu": 1000, "memMb": 256, "estimatedDurationMs": 1000}
         if await client.submit(job, {"spec": "sound", "steps": [step]}, quiet=True):
@@ -120,7 +121,7 @@
 
     for cycle in range(CYCLES):
         numbers = range(0x1000 * (cycle + 1), 0x1000 * (cycle + 1) + JOBS_A_CYCLE)
-        burst = asyncio.gather(*[submit(number) for number in numbers])
+        burst = asyncio.gather(*[submit(number, position / JOBS_A_CYCLE) for position, number in enumerate(numbers)])
         await asyncio.sleep(1.0)
         if TROUBLE:
             for node in system.controls:
