deployment: Begin the call ids of each process at a random number

By the new tests, a caller may also be told that a submission was accepted that never arrived.

Cause: a reply names a call by a number alone and goes to a host by its name. Call ids began at 1 in each process, so that a reply to an earlier process matched an open call of its successor.

Ruled out: mixing of requests within one process, at the leader or at the adviser; their ids are never used again, and foreign tickets occur after restarts only. A mark on the wire was turned down, since hosts of earlier builds don't return it.

Source/control numbered its calls the same way and is changed with it. Replies to no open call are counted.

--- a/Source/control/host.h
+++ b/Source/control/host.h
@@ -100,7 +100,7 @@
     std::map<std::string, std::vector<std::pair<std::uint64_t, Token>>>
         pendingVerdicts; ///< Requests waiting for a proposed verdict, by worker, with the verdict's sequence number.
     std::uint64_t nextToken = 1ULL << 62U; ///< Above all tokens that local callers get.
-    std::uint64_t nextCall = 1;
+    std::uint64_t nextCall = 1; ///< Begins at wire::firstCallId().
     std::map<Token, SpillCall> spills; ///< Spill calls in progress.
     std::vector<std::pair<SpillCall, wire::ReplyT>> spillReplies; ///< Replies that the cell handles at the next tick.
     bool draining = false;
@@ -112,7 +112,7 @@
  * @param settings validated settings.
  * @param incarnation the incarnation stored in the host's data folder, or a new one for a host without a disk.
  * @param journals the journal records of each group.
- * @param seed of all random choices.
+ * @param seed of all random choices, which no other process uses.
  * @param now the current time.
  * @return the host.
  */
--- a/Source/control/hostgroups.cpp
+++ b/Source/control/hostgroups.cpp
@@ -1,4 +1,5 @@
 #include "control/hostinternal.h"
+#include "wire/callid.h"
 
 #include <algorithm>
 
@@ -192,6 +193,7 @@
     host.incarnation = incarnation;
     host.cell.options = cellOptions(host.settings, host.dataCentre);
     host.cell.random.seed(seed);
+    host.nextCall = wire::firstCallId(seed);
     host.config.dataCentres = config::dataCentres(host.settings);
     for (const std::string &group : groupsOf(host.settings, host.settings.host)) {
         consensus::Node node = makeNode(host, group, seed + host.groups.size() + 1);
--- a/Source/daemon/daemon.cpp
+++ b/Source/daemon/daemon.cpp
@@ -98,9 +98,10 @@
               settings.limits.maxWaiters)
         , m_network(settings, restored.incarnation, peerHandlers())
     {
-        std::random_device seed;
+        std::random_device random;
+        const std::uint64_t seed = (std::uint64_t{random()} << 32U) | random();
         const control::Clock clock = control::systemClock();
-        control::Host host = control::makeHost(settings, restored.incarnation, restored.records, seed(), clock());
+        control::Host host = control::makeHost(settings, restored.incarnation, restored.records, seed, clock());
         m_loop = std::make_unique<control::ControlLoop>(std::move(host), clock, sinks());
         m_journal = std::make_unique<storage::JournalThread>(std::move(restored.journals), journalSinks());
         m_sender = std::make_unique<transport::StartSender>(
--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -75,6 +75,7 @@
     appendMetric(text, "plan_version", host.state.plan.version);
     appendMetric(text, "jobs", host.state.jobs.size());
     appendMetric(text, "requests_open", host.routed.size());
+    appendMetric(text, "replies_unmatched_total", host.unmatchedReplies);
     appendMetric(text, "peer_bytes_within_total", traffic.bytesWithin);
     appendMetric(text, "peer_bytes_across_total", traffic.bytesAcross);
     appendMetric(text, "peer_connections_retired_total", traffic.connectionsRetired);
--- a/Source/deployment/host.cpp
+++ b/Source/deployment/host.cpp
@@ -1,6 +1,7 @@
 #include "deployment/host.h"
 
 #include "storage/identity.h"
+#include "wire/callid.h"
 
 #include <algorithm>
 #include <iterator>
@@ -122,6 +123,7 @@
     host.incarnation = incarnation;
     host.leader.options = host.options.leader;
     host.couriers.origin = seed;
+    host.nextCall = wire::firstCallId(seed);
     host.controlHosts.insert(host.options.seeds.begin(), host.options.seeds.end());
     if (!host.options.control) {
         return host;
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -145,7 +145,8 @@
     std::map<std::uint64_t, std::uint64_t> adviceCalls; ///< Advice requests sent through other hosts: call id to request id.
     std::map<std::uint64_t, Origin> adviceOrigins; ///< Senders of the advice requests that this host makes for other hosts.
     Token nextToken = 1ULL << 62U; ///< Above all tokens that local callers get.
-    std::uint64_t nextCall = 1;
+    std::uint64_t nextCall = 1; ///< Begins at wire::firstCallId(): replies are addressed to a host and may arrive at a later process.
+    std::uint64_t unmatchedReplies = 0; ///< Replies to no open call: late ones, and those to calls of an earlier process of this host.
     bool draining = false;
     wire::Bytes pendingImage; ///< A snapshot that is delayed until the members have the log up to it; empty for none.
     std::uint64_t pendingImageIndex = 0;
@@ -159,7 +160,7 @@
 /**
  * Creates a host.
  * @param options its configuration. @param incarnation the incarnation stored in its data folder, or a new one. @param records its journal; empty for a host
- * that joins. @param seed of all random choices. @param now the current time. @return the host.
+ * that joins. @param seed of all random choices, which no other process uses. @param now the current time. @return the host.
  */
 Host makeHost(HostOptions options, std::uint64_t incarnation, const std::vector<wire::JournalRecordT> &records, std::uint64_t seed, const Now &now);
 
--- a/Source/deployment/hostrouting.cpp
+++ b/Source/deployment/hostrouting.cpp
@@ -153,6 +153,7 @@
     }
     const auto call = host.calls.find(id);
     if (call == host.calls.end()) {
+        ++host.unmatchedReplies;
         return;
     }
     const Token token = call->second;
--- /dev/null
+++ b/Tests/deployment/calls.cpp
@@ -0,0 +1,179 @@
+#include "deployment/fleettesting.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+using namespace rosemaryturn;
+using fakes::Fleet;
+using fakes::FleetOptions;
+using fakes::makeStep;
+
+constexpr std::uint64_t waitMs = 5000;
+
+/** A host without a vote that is connected to the leader, and the effects of its latest events. */
+struct EntryProcess
+{
+    deployment::Host host;
+    deployment::Now now{10000, 1700000000000};
+    deployment::HostOutput output;
+};
+
+/** Starts a process of the entry host "e0" that knows its leader. @param seed of the process. @return the process, without open calls. */
+EntryProcess startEntryProcess(std::uint64_t seed)
+{
+    deployment::HostOptions options;
+    options.host = "e0";
+    options.seeds = {"c0"};
+    EntryProcess process;
+    process.host = deployment::makeHost(options, 1, {}, seed, process.now);
+    deployment::handlePeer(process.host, "c0", {true, true, 1, "dc1", false}, process.now, process.output);
+    deployment::tick(process.host, process.now, process.output);
+    wire::ReplyT topology;
+    topology.leader = "c0";
+    deployment::handleReply(process.host, process.output.calls.at(0).id, topology, process.now, process.output);
+    process.output = {};
+    return process;
+}
+
+/** Sends a request of a local caller to the leader. @param process the host. @param operation the operation. @return the id of the call. */
+std::uint64_t callLeader(EntryProcess &process, wire::Operation operation)
+{
+    wire::RequestT request;
+    request.operation = operation;
+    request.waitMs = waitMs;
+    deployment::handleLocalRequest(process.host, 1, std::move(request), process.now, process.output);
+    CHECK_EQUAL(std::size_t{1}, process.output.calls.size());
+    return process.output.calls.at(0).id;
+}
+
+/** Kills the control hosts and starts them again. @param fleet the deployment. @param downMs the time between the two. */
+void restartControlHosts(Fleet &fleet, std::uint64_t downMs)
+{
+    for (fakes::FakeHost &host : fleet.hosts) {
+        if (host.control) {
+            fleet.kill(host);
+        }
+    }
+    fleet.run(downMs);
+    for (fakes::FakeHost &host : fleet.hosts) {
+        if (host.control) {
+            fleet.start(host);
+        }
+    }
+}
+}
+
+/** A restarted host passed the reply to a call of its predecessor to a caller of its own: a submission counted as accepted that had never arrived. */
+TEST_CASE(Calls, ARestartedHostIgnoresRepliesToItsPredecessor)
+{
+    for (const wire::Operation operation :
+         {wire::Operation::SubmitJob, wire::Operation::JobQuery, wire::Operation::JobCancel, wire::Operation::QueueLength, wire::Operation::UpstreamBeat,
+          wire::Operation::UpstreamLeave, wire::Operation::PlanPut, wire::Operation::PlanRead, wire::Operation::StartWave, wire::Operation::ReadWave}) {
+        EntryProcess former = startEntryProcess(1);
+        EntryProcess successor = startEntryProcess(2);
+        const std::uint64_t formerCall = callLeader(former, operation);
+        const std::uint64_t ownCall = callLeader(successor, operation);
+        deployment::handleReply(successor.host, formerCall, {}, successor.now, successor.output);
+        CHECK(successor.output.replies.empty());
+        CHECK_EQUAL(std::uint64_t{1}, successor.host.unmatchedReplies);
+        deployment::handleReply(successor.host, ownCall, {}, successor.now, successor.output);
+        CHECK_EQUAL(std::size_t{1}, successor.output.replies.size());
+        CHECK_EQUAL(std::uint64_t{1}, successor.host.unmatchedReplies);
+    }
+}
+
+/** A restarted host took the reply to a query of its predecessor for one to its own, and a submission's reply for the list of control hosts. */
+TEST_CASE(Calls, ARestartedHostIgnoresTheTopologyOfItsPredecessor)
+{
+    EntryProcess former = startEntryProcess(1);
+    EntryProcess successor = startEntryProcess(2);
+    for (EntryProcess *process : {&former, &successor}) {
+        process->now.monotonicMs += process->host.options.topologyIntervalMs;
+        deployment::tick(process->host, process->now, process->output);
+        CHECK_EQUAL(std::size_t{1}, process->output.calls.size());
+    }
+    wire::ReplyT topology;
+    topology.leader = "c9";
+    deployment::handleReply(successor.host, former.output.calls.at(0).id, topology, successor.now, successor.output);
+    CHECK_TEXT("c0", deployment::leaderOf(successor.host, successor.now));
+    deployment::handleReply(successor.host, successor.output.calls.at(0).id, topology, successor.now, successor.output);
+    CHECK_TEXT("c9", deployment::leaderOf(successor.host, successor.now));
+}
+
+/** A restarted leader took advice for its predecessor's requests as that for its own: jobs were never started, as the upstreams that the advice service
+ * allows for them counted as denied. */
+TEST_CASE(Calls, ARestartedLeaderIgnoresAdviceForItsPredecessor)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        FleetOptions options = fakes::withUpstreams(16); // Each step is allowed on some of them.
+        options.seed = seed;
+        options.allowedShare = 0.5;
+        options.entryHosts = 4;
+        Fleet fleet(options);
+        fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
+        waitUntilReady(fleet);
+        CHECK(fleet.putPlan(1, 3, true));
+        fleet.hostFaults.heldReplyShare = 0.7;
+        std::vector<std::string> jobs;
+        for (int cycle = 0; cycle < 3; ++cycle) {
+            for (int i = 0; i < 30; ++i) {
+                jobs.push_back("/0/j" + std::to_string(cycle) + "-" + std::to_string(i));
+                fleet.submit(jobs.back(), {makeStep(1, 1000, 500)});
+                fleet.run(30);
+            }
+            restartControlHosts(fleet, 500);
+            fleet.run(3000);
+        }
+        fleet.hostFaults.heldReplyShare = 0;
+        CHECK_TEXT("", violationsText(fleet));
+        for (const std::string &path : jobs) {
+            CHECK(completes(fleet, path, 30000));
+        }
+        CHECK_TEXT("", violationsText(fleet));
+    }
+}
+
+/** Replies of every kind are held while the processes that called are replaced again and again. */
+TEST_CASE(Calls, HeldRepliesKeepThePromises)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        FleetOptions options = fakes::withUpstreams(8);
+        options.seed = seed;
+        options.allowedShare = 0.5;
+        options.entryHosts = 1; // All submissions of one process have adjacent call ids.
+        Fleet fleet(options);
+        waitUntilReady(fleet);
+        CHECK(fleet.putPlan(1, 3, true));
+        fleet.hostFaults.heldReplyShare = 0.5;
+        std::mt19937_64 random(seed);
+        std::vector<std::pair<std::string, deployment::Token>> submitted;
+        constexpr int jobs = 160;
+        constexpr int jobsPerProcess = 8;
+        for (int i = 0; i < jobs; ++i) {
+            const std::string path = "/0/j" + std::to_string(i);
+            submitted.emplace_back(path, fleet.submit(path, {makeStep(1 + i % 3, 1000, 400)}));
+            fleet.run(random() % 100);
+            if (i % jobsPerProcess == jobsPerProcess - 1) {
+                fakes::FakeHost &host = i % 3 == 0 ? fleet.hosts[random() % options.controlHosts] : fleet.hosts.back();
+                fleet.kill(host);
+                fleet.run(random() % 300);
+                fleet.start(host);
+                fleet.run(200);
+            }
+        }
+        fleet.hostFaults.heldReplyShare = 0;
+        fleet.run(waitMs);
+        for (const auto &[path, token] : submitted) {
+            const fakes::FakeAnswer &answer = fleet.answer(token);
+            if (answer.answered && answer.reply.error == 0) {
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + " accepted but unknown: " + path, fleet.phase(path).has_value());
+            }
+        }
+        CHECK_TEXT("", violationsText(fleet));
+    }
+}
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -328,6 +328,24 @@
     });
 }
 
+/** Delivers a reply to the process that made the call, or to the one that runs on its host when a held reply arrives. */
+void Fleet::deliverReply(const std::string &from, deployment::HostReply &&reply)
+{
+    const auto action = [this, id = reply.id, body = std::make_shared<wire::ReplyT>(std::move(reply.reply))](FakeHost &other, deployment::HostOutput &step) {
+        deployment::handleReply(*other.host, id, *body, now(other), step);
+    };
+    const bool held = hostFaults.heldReplyShare > 0 && std::bernoulli_distribution(hostFaults.heldReplyShare)(m_hazards);
+    if (!held) {
+        deliver(from, reply.to, action);
+        return;
+    }
+    schedule(m_hazards() % hostFaults.maxReplyDelayMs, [this, from, to = reply.to, action] {
+        if (isConnected(from, to)) {
+            onHost(to, host(to).generation, action);
+        }
+    });
+}
+
 void Fleet::deliverHeld(const std::string &from, const std::string &to)
 {
     const auto found = m_held.find({from, to});
@@ -372,11 +390,7 @@
                 });
     }
     for (deployment::HostReply &reply : output.peerReplies) {
-        deliver(self.id,
-                reply.to,
-                [this, id = reply.id, body = std::make_shared<wire::ReplyT>(std::move(reply.reply))](FakeHost &other, deployment::HostOutput &step) {
-                    deployment::handleReply(*other.host, id, *body, now(other), step);
-                });
+        deliverReply(self.id, std::move(reply));
     }
     for (deployment::TokenReply &reply : output.replies) {
         m_answers[reply.token] = {true, std::move(reply.reply), nowMs};
@@ -737,6 +751,9 @@
         return reply;
     }
     const wire::StepSpecT &step = *job->second.steps[call.task.step];
+    if (m_advised && !call.ticket.starts_with(stepNameOf(call.job, call.task) + "@")) {
+        violations.push_back("FOREIGN TICKET " + name + " ticket " + call.ticket);
+    }
     if (m_advised && !acceptsTicket(upstream, call)) {
         reply.status = deployment::CallStatus::BadTicket;
         return reply;
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -41,6 +41,8 @@
 struct HostFaults
 {
     std::uint64_t maxHeldMs = 0; ///< Messages that a partition stops are delivered when it heals unless they are older; at 0 they are dropped.
+    double heldReplyShare = 0; ///< Share of the replies to calls that are held; they are delivered even if the caller's process has been replaced meanwhile.
+    std::uint64_t maxReplyDelayMs = 3000; ///< How long they are held at most.
     bool keepsUnsyncedWrites = false; ///< Whether a host that is killed may find some of the writes that weren't synced; they are in order, as in a journal.
 };
 
@@ -270,6 +272,7 @@
     bool isConnected(const std::string &a, const std::string &b);
     void deliverHeld(const std::string &from, const std::string &to);
     void deliver(const std::string &from, const std::string &to, std::function<void(FakeHost &, deployment::HostOutput &)> action);
+    void deliverReply(const std::string &from, deployment::HostReply &&reply);
     ReplySink replyDirectly(const FakeHost &self);
     ReplySink replyThroughCourier(const FakeHost &courier, const std::string &leader, std::uint64_t origin);
     void deliverOrders(const FakeHost &self, const std::string &courier, const deployment::OrderBatch &delivery);
