--- a/Tests/deployment/calls.cpp
+++ b/Tests/deployment/calls.cpp
@@ -71,9 +71,16 @@
 /** A restarted host passed the reply to a call of its predecessor to a caller of its own: a submission counted as accepted that had never arrived. */
 TEST_CASE(Calls, ARestartedHostIgnoresRepliesToItsPredecessor)
 {
-    for (const wire::Operation operation :
-         {wire::Operation::SubmitJob, wire::Operation::JobQuery, wire::Operation::JobCancel, wire::Operation::QueueLength, wire::Operation::UpstreamBeat,
-          wire::Operation::UpstreamLeave, wire::Operation::PlanPut, wire::Operation::PlanRead, wire::Operation::StartWave, wire::Operation::ReadWave}) {
+    for (const wire::Operation operation : {wire::Operation::SubmitJob,
+                                            wire::Operation::JobQuery,
+                                            wire::Operation::JobCancel,
+                                            wire::Operation::QueueLength,
+                                            wire::Operation::UpstreamBeat,
+                                            wire::Operation::UpstreamLeave,
+                                            wire::Operation::PlanPut,
+                                            wire::Operation::PlanRead,
+                                            wire::Operation::StartWave,
+                                            wire::Operation::ReadWave}) {
         EntryProcess former = startEntryProcess(1);
         EntryProcess successor = startEntryProcess(2);
         const std::uint64_t formerCall = callLeader(former, operation);
