deployment: Drop the advice requests of a leader that is gone

Cause: an entry host passed all requests of a leader to the advice service, which handles them one by one. Those of a killed leader were handled first. Requests that the leader sends through a host whose connection is lost also waited for their time-out, and their calls were never removed.

A host now sends two requests at a time and keeps the others, in order. It drops those whose sender is lost or has given them up, and counts them. Requests through a lost host count as unanswered at once.

The three new tests failed with the limit, the drop and the removal taken out.

--- a/Source/deployment/host.cpp
+++ b/Source/deployment/host.cpp
@@ -206,6 +206,7 @@
     if (now.monotonicMs >= host.nextTopologyMs) {
         host.nextTopologyMs = now.monotonicMs + host.options.topologyIntervalMs;
         host.topologyCalls.clear();
+        internal::expireAdviceCalls(host);
         const std::string leader = leaderOf(host, now);
         for (const auto &[name, peer] : host.peers) {
             const bool queryAll = leader.empty() || host.peers.count(leader) == 0;
@@ -329,18 +330,7 @@
         dispatchOrder(host, std::move(call), now, output);
     }
     for (AdviceCall &call : step.advice) {
-        if (call.host.empty()) {
-            output.advice.push_back({call.id, std::move(call.step), std::move(call.upstreams), call.timeoutMs});
-            continue;
-        }
-        wire::RequestT request;
-        request.operation = wire::Operation::Advise;
-        request.waitMs = static_cast<std::uint32_t>(call.timeoutMs);
-        request.advice = std::make_unique<wire::AdviceAskT>();
-        request.advice->step = std::move(call.step);
-        request.advice->upstreams = std::move(call.upstreams);
-        host.adviceCalls[host.nextCall] = call.id;
-        output.calls.push_back({call.host, host.nextCall++, std::move(request)});
+        requestAdvice(host, std::move(call), now, output);
     }
     for (Decision &decision : step.decisions) {
         output.decisions.push_back(std::move(decision));
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -6,6 +6,7 @@
 #include "job/jobs.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -119,6 +120,20 @@
     std::uint64_t call = 0;
 };
 
+/** An advice request of this host's leader that another host makes. */
+struct RemoteAdviceCall
+{
+    std::uint64_t request = 0; ///< Id of the request.
+    std::string to;
+};
+
+/** A request to the advice service that waits for its turn. */
+struct QueuedAdvice
+{
+    LocalAdviceRequest request;
+    std::uint64_t deadlineMs = 0;
+};
+
 /** The control state of one host of a deployment. */
 struct Host
 {
@@ -142,8 +157,11 @@
     std::map<std::uint64_t, Token> calls; ///< Routed requests, by call id.
     std::set<std::uint64_t> topologyCalls;
     std::map<Token, Origin> origins; ///< Senders of the requests that this host handles as leader.
-    std::map<std::uint64_t, std::uint64_t> adviceCalls; ///< Advice requests sent through other hosts: call id to request id.
+    std::map<std::uint64_t, RemoteAdviceCall> adviceCalls; ///< Advice requests sent through other hosts, by call id.
     std::map<std::uint64_t, Origin> adviceOrigins; ///< Senders of the advice requests that this host makes for other hosts.
+    std::deque<QueuedAdvice> queuedAdvice; ///< Requests to the advice service that aren't sent yet, in order.
+    std::set<std::uint64_t> adviceInProgress; ///< Requests to the advice service that were sent and aren't answered.
+    std::uint64_t adviceDropped = 0; ///< Requests that were never sent: their sender was lost, or their time was over.
     Token nextToken = 1ULL << 62U; ///< Above all tokens that local callers get.
     std::uint64_t nextCall = 1; ///< Begins at wire::firstCallId(): replies are addressed to a host and may arrive at a later process.
     std::uint64_t unmatchedReplies = 0; ///< Replies to no open call: late ones, and those to calls of an earlier process of this host.
@@ -228,6 +246,11 @@
 void refreshDialTargets(Host &host, HostOutput &output);
 void repairMembership(Host &host, const Now &now, HostOutput &output);
 void refreshAdvisers(Host &host);
+void requestAdvice(Host &host, AdviceCall call, const Now &now, HostOutput &output);
+void requestAdviceFor(Host &host, Origin origin, wire::RequestT request, const Now &now, HostOutput &output);
+bool handleRemoteAdvice(Host &host, std::uint64_t call, const wire::ReplyT &reply, const Now &now);
+void dropAdviceOf(Host &host, const std::string &lost, const Now &now, HostOutput &output);
+void expireAdviceCalls(Host &host);
 void refreshCouriers(Host &host);
 void tickCouriers(Host &host, const Now &now, HostOutput &output);
 void dispatchOrder(Host &host, UpstreamCall call, const Now &now, HostOutput &output);
--- a/Source/deployment/hostrouting.cpp
+++ b/Source/deployment/hostrouting.cpp
@@ -76,35 +76,6 @@
     recordLeader(host, reply, now);
     internal::refreshDialTargets(host, output);
 }
-
-wire::ReplyT encodeAdviceReply(const AdviceReply &reply)
-{
-    wire::ReplyT answer;
-    if (!reply.answered) {
-        answer.error = static_cast<std::uint16_t>(model::Reason::NotAdviser);
-        return answer;
-    }
-    answer.count = reply.validMs;
-    for (const auto &[upstream, ticket] : reply.allowed) {
-        auto row = std::make_unique<wire::AdviceRowT>();
-        row->upstream = upstream;
-        row->ticket = ticket;
-        answer.allowed.push_back(std::move(row));
-    }
-    return answer;
-}
-
-AdviceReply decodeAdviceReply(std::uint64_t id, const wire::ReplyT &reply)
-{
-    AdviceReply advice;
-    advice.id = id;
-    advice.answered = reply.error == 0;
-    advice.validMs = reply.count;
-    for (const auto &row : reply.allowed) {
-        advice.allowed.emplace_back(row->upstream, row->ticket);
-    }
-    return advice;
-}
 }
 
 void handleLocalRequest(Host &host, Token token, wire::RequestT request, const Now &now, HostOutput &output)
@@ -123,9 +94,7 @@
         return;
     }
     if (request.operation == wire::Operation::Advise && request.advice) {
-        const std::uint64_t adviceId = host.leader.nextCall++; // Unique among the requests of the own leader, too.
-        host.adviceOrigins[adviceId] = {from, id};
-        output.advice.push_back({adviceId, std::move(request.advice->step), std::move(request.advice->upstreams), request.waitMs});
+        internal::requestAdviceFor(host, {from, id}, std::move(request), now, output);
         return;
     }
     if (!isActiveLeader(host, now)) {
@@ -145,10 +114,7 @@
         handleTopology(host, reply, now, output);
         return;
     }
-    const auto advice = host.adviceCalls.find(id);
-    if (advice != host.adviceCalls.end()) {
-        handleAdviceReply(host.leader, decodeAdviceReply(advice->second, reply), now);
-        host.adviceCalls.erase(advice);
+    if (internal::handleRemoteAdvice(host, id, reply, now)) {
         return;
     }
     const auto call = host.calls.find(id);
@@ -199,23 +165,13 @@
     output.decisions.push_back({peer.connected ? "peer-connected" : "peer-lost", name, peer.control ? "control" : "entry"});
     if (lost) {
         internal::handleReturnedOrders(host, reclaimOrders(host.couriers, name), now, output);
+        internal::dropAdviceOf(host, name, now, output);
     }
     internal::refreshAdvisers(host);
     internal::refreshCouriers(host);
     internal::refreshDialTargets(host, output);
 }
 
-void handleAdviceReply(Host &host, const AdviceReply &reply, const Now &now, HostOutput &output)
-{
-    const auto origin = host.adviceOrigins.find(reply.id);
-    if (origin == host.adviceOrigins.end()) {
-        handleAdviceReply(host.leader, reply, now);
-        return;
-    }
-    output.peerReplies.push_back({origin->second.host, origin->second.call, encodeAdviceReply(reply)});
-    host.adviceOrigins.erase(origin);
-}
-
 void addSeeds(Host &host, const std::vector<std::string> &seeds, HostOutput &output)
 {
     host.controlHosts.insert(seeds.begin(), seeds.end());
@@ -265,19 +221,5 @@
         output.dial = std::vector<std::string>(targets.begin(), targets.end());
     }
 }
-
-void refreshAdvisers(Host &host)
-{
-    std::vector<std::string> advisers;
-    if (host.options.canRequestAdvice) {
-        advisers.emplace_back();
-    }
-    for (const auto &[name, peer] : host.peers) {
-        if (peer.connected) {
-            advisers.push_back(name);
-        }
-    }
-    setAdvisers(host.leader, advisers);
-}
 }
 }
--- a/Tests/deployment/calls.cpp
+++ b/Tests/deployment/calls.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace
@@ -184,3 +185,88 @@
         CHECK_TEXT("", violationsText(fleet));
     }
 }
+
+/** Requests of a leader that was gone kept the advice service busy for seconds, while the requests of its successor waited behind them. */
+TEST_CASE(Calls, TheAdviceRequestsOfALostHostAreDropped)
+{
+    EntryProcess process = startEntryProcess(1);
+    deployment::handlePeer(process.host, "c1", {true, true, 1, "dc1", false}, process.now, process.output);
+    const auto requestAdvice = [&process](const std::string &from, std::uint64_t call) {
+        wire::RequestT request;
+        request.operation = wire::Operation::Advise;
+        request.waitMs = waitMs;
+        request.advice = std::make_unique<wire::AdviceAskT>();
+        request.advice->step = from + "-" + std::to_string(call);
+        deployment::handleCall(process.host, from, call, std::move(request), process.now, process.output);
+    };
+    constexpr std::uint64_t requests = 10;
+    for (std::uint64_t call = 1; call <= requests; ++call) {
+        requestAdvice("c0", call);
+    }
+    requestAdvice("c1", 1);
+    const std::vector<deployment::LocalAdviceRequest> sent = std::exchange(process.output.advice, {});
+    CHECK(sent.size() < requests); // The service handles them in turn, so that the others can wait here.
+    deployment::handlePeer(process.host, "c0", {false, true, 1, "dc1", false}, process.now, process.output);
+    deployment::handleAdviceReply(process.host, {sent.front().id, true, 0, {}}, process.now, process.output);
+    CHECK(process.output.peerReplies.empty());
+    CHECK_EQUAL(std::size_t{1}, process.output.advice.size());
+    CHECK_TEXT("c1-1", process.output.advice.front().step);
+    CHECK_EQUAL(requests - sent.size(), process.host.adviceDropped);
+}
+
+/** A request that had waited until its sender gave it up was sent all the same. */
+TEST_CASE(Calls, AdviceRequestsAreSentInTurnAndInTime)
+{
+    EntryProcess process = startEntryProcess(1);
+    for (std::uint64_t call = 1; call <= 5; ++call) {
+        wire::RequestT request;
+        request.operation = wire::Operation::Advise;
+        request.waitMs = call == 3 ? 100 : waitMs;
+        request.advice = std::make_unique<wire::AdviceAskT>();
+        request.advice->step = "s" + std::to_string(call);
+        deployment::handleCall(process.host, "c0", call, std::move(request), process.now, process.output);
+    }
+    std::string steps;
+    constexpr std::uint64_t decisionMs = 200;
+    while (!process.output.advice.empty()) {
+        process.now.monotonicMs += decisionMs;
+        const deployment::LocalAdviceRequest sent = process.output.advice.front();
+        process.output.advice.erase(process.output.advice.begin());
+        steps += sent.step + " ";
+        CHECK(sent.timeoutMs <= waitMs);
+        deployment::handleAdviceReply(process.host, {sent.id, true, 0, {}}, process.now, process.output);
+    }
+    CHECK_TEXT("s1 s2 s4 s5 ", steps);
+    CHECK_EQUAL(std::size_t{4}, process.output.peerReplies.size());
+    CHECK(process.host.adviceOrigins.empty());
+    CHECK(process.host.adviceInProgress.empty());
+}
+
+/** Steps waited for the time-out of a request to the advice service after the host that had sent it was lost, and the call was kept for good. */
+TEST_CASE(Calls, AdviceRequestsThroughALostHostCountAsUnansweredAtOnce)
+{
+    Fleet fleet(fakes::withUpstreams(4));
+    waitUntilReady(fleet);
+    CHECK(fleet.putPlan(1, 3, true));
+    deployment::Host &leader = *fleet.leader()->host;
+    leader.options.canRequestAdvice = false;
+    deployment::internal::refreshAdvisers(leader);
+    for (int i = 0; i < 20; ++i) {
+        fleet.submit("/0/j" + std::to_string(i), {makeStep(1, 1000, 500)});
+    }
+    CHECK(fleet.runUntil(
+        [&] {
+            return !leader.adviceCalls.empty();
+        },
+        5000));
+    const std::string lost = leader.adviceCalls.begin()->second.to;
+    const auto open = static_cast<std::uint64_t>(std::count_if(leader.adviceCalls.begin(), leader.adviceCalls.end(), [&lost](const auto &call) {
+        return call.second.to == lost;
+    }));
+    const std::size_t others = leader.adviceCalls.size() - open;
+    const std::uint64_t unanswered = leader.leader.counters.adviceUnanswered;
+    deployment::HostOutput output;
+    deployment::handlePeer(leader, lost, {false, false, 1, "", false}, {fleet.nowMs, fleet.nowMs}, output);
+    CHECK_EQUAL(unanswered + open, leader.leader.counters.adviceUnanswered);
+    CHECK_EQUAL(others, leader.adviceCalls.size());
+}
