deployment: Reserve advisers for short requests only while there are any

Leader.LongAdviceRequestsUseAllAdvisersWhileNoneIsShort failed before (4 advisers in place of 6). Plans with short requests are unchanged.

--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -149,6 +149,7 @@
     leader.active = true;
     leader.term = term;
     leader.leadingSinceMs = now.monotonicMs;
+    internal::applyPlanToAdvice(leader, state.plan);
     for (const auto &[number, seen] : state.upstreams) {
         internal::addUpstream(leader, seen, now);
         upstream::UpstreamState &upstreamState = leader.upstreams.at(number);
@@ -218,6 +219,7 @@
         reply.revision = state.plan.version;
         answerWaiting(leader.pendingPlans, plan->version, reply, output);
         output.decisions.push_back({"plan-in-force", std::to_string(state.plan.version), "queues=" + std::to_string(state.plan.queues.size())});
+        internal::applyPlanToAdvice(leader, state.plan);
         internal::applyPlanToWaitingSteps(leader, state, now, output);
     } else if (const auto *forgotten = record.change.AsJobsForgotten()) {
         for (const std::uint64_t number : forgotten->jobs) {
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -315,6 +315,7 @@
     std::map<std::uint64_t, PendingAdvice> pendingAdvice;
     std::unordered_map<std::string, Advice> advice; ///< By step name; also for steps whose job isn't committed yet.
     std::vector<Adviser> advisers;
+    bool hasShortRequests = false; ///< Whether the plan has a queue whose requests to the advice service are short.
     std::unordered_map<std::string, std::vector<Token>> pendingSubmits; ///< Requests that wait for a job's record, by id of the job.
     std::unordered_map<std::uint64_t, std::vector<Token>> pendingCancels; ///< Requests that wait for a cancellation's record, by number of the job.
     std::map<std::uint64_t, std::vector<Token>> pendingPlans; ///< Requests that wait for a plan's record, by version.
@@ -410,6 +411,7 @@
 void removeWaitingSteps(Leader &leader, std::uint64_t job);
 void applyPlanToWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 void enqueueDueSteps(Leader &leader, const job::State &state, const Now &now);
+void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan);
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output);
 void expireUnusedAdvice(Leader &leader, const Now &now);
 void placeWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -114,7 +114,7 @@
 /** @return the host through which the reply is expected first. */
 Adviser &fastestAdviser(Leader &leader, double costMs, const Now &now)
 {
-    // Long requests skip the fastest third of the advisers, so that short ones don't queue behind them.
+    // Long requests skip the fastest third of the advisers while there are short ones, which would queue behind them.
     std::vector<Adviser *> order;
     for (Adviser &adviser : leader.advisers) {
         order.push_back(&adviser);
@@ -122,7 +122,7 @@
     std::sort(order.begin(), order.end(), [](const Adviser *a, const Adviser *b) {
         return std::tuple(a->networkDelayMs, a->host) < std::tuple(b->networkDelayMs, b->host);
     });
-    const std::size_t skipped = costMs > longRequestMs ? order.size() / 3 : 0;
+    const std::size_t skipped = costMs > longRequestMs && leader.hasShortRequests ? order.size() / 3 : 0;
     order.erase(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(skipped));
     const auto readyMs = [&](const Adviser &adviser) {
         return static_cast<double>(std::max(adviser.busyUntilMs, now.monotonicMs)) + costMs + adviser.networkDelayMs;
@@ -251,6 +251,13 @@
     }
 }
 
+void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan)
+{
+    leader.hasShortRequests = std::any_of(plan.queues.begin(), plan.queues.end(), [](const auto &queue) {
+        return queue->advised && queue->adviceMs + queue->advicePerUpstreamMs * static_cast<double>(minUpstreamsPerCheapRequest) <= longRequestMs;
+    });
+}
+
 void expireUnusedAdvice(Leader &leader, const Now &now)
 {
     std::erase_if(leader.advice, [&now](const auto &entry) {
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -1,6 +1,8 @@
 #include "deployment/leadertesting.h"
 #include "fakes/fleet.h"
 
+#include <set>
+
 namespace
 {
 using namespace rosemaryturn;
@@ -500,3 +502,43 @@
     answerPoll(test, takeCall(test, CallKind::Poll, "u1"), born, {listedRun(starts[1])});
     CHECK_EQUAL(std::uint64_t{0}, queueLength(test));
 }
+
+/** Long requests to the advice service left a third of the advisers unused although no queue had short ones. */
+TEST_CASE(Leader, LongAdviceRequestsUseAllAdvisersWhileNoneIsShort)
+{
+    for (const bool withShort : {false, true}) {
+        LeaderTest test = makeLeader({"u1"});
+        setAdvisers(test.leader, {"", "e0", "e1", "e2", "e3", "e4"});
+        wire::PlanAcceptedT plan;
+        plan.version = 1;
+        for (int i = 0; i < (withShort ? 2 : 1); ++i) {
+            auto queue = std::make_unique<wire::QueueSpecT>();
+            queue->host = "q";
+            queue->prefix = "/" + std::to_string(i) + "/";
+            queue->service = "s";
+            queue->attempts = 5;
+            queue->advised = true;
+            queue->adviceMs = i == 0 ? 300 : 7;
+            plan.queues.push_back(std::move(queue));
+        }
+        LeaderOutput output;
+        output.proposals = {wire::encodeChange(std::move(plan))};
+        collect(test, std::move(output));
+        std::set<std::string> used;
+        constexpr int jobs = 18;
+        for (int i = 0; i < jobs; ++i) {
+            wire::RequestT request;
+            request.operation = wire::Operation::SubmitJob;
+            request.service = "q";
+            request.path = "/0/j" + std::to_string(i);
+            request.job = std::make_unique<wire::JobSpecT>();
+            request.job->steps.push_back(std::make_unique<wire::StepSpecT>(fakes::makeStep(1, 1000, 500)));
+            LeaderOutput step;
+            handleRequest(test.leader, test.state, 10 + i, std::move(request), test.now, step);
+            for (const AdviceCall &call : step.advice) {
+                used.insert(call.host);
+            }
+        }
+        CHECK_EQUAL(std::size_t{withShort ? 4U : 6U}, used.size());
+    }
+}
