wire: Let the size of a message bound the tables that the verifier allows

The writer has no such bound. Each table is reached through an offset of its own, so that the size of the bytes bounds their number; that is the limit now, for each message and record.

--- a/Source/wire/codec.h
+++ b/Source/wire/codec.h
@@ -26,6 +26,23 @@
     return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
+/**
+ * Verifies a message without decoding it.
+ * @tparam Table the expected table.
+ * @param bytes the encoded message.
+ * @return the table within the bytes, or null when they do not match the schema.
+ */
+template<typename Table>
+const Table *verifiedRoot(std::span<const std::uint8_t> bytes)
+{
+    // Each table is reached through an offset of its own, so that the size bounds their number. The default bound of the library is a constant, which a
+    // large message of our own exceeds.
+    flatbuffers::Verifier::Options options;
+    options.max_tables = static_cast<flatbuffers::uoffset_t>(bytes.size() / sizeof(flatbuffers::uoffset_t));
+    flatbuffers::Verifier verifier(bytes.data(), bytes.size(), options);
+    return verifier.VerifyBuffer<Table>(nullptr) ? flatbuffers::GetRoot<Table>(bytes.data()) : nullptr;
+}
+
 /**
  * Decodes and verifies a message.
  * @tparam Native the object form of the expected table.
@@ -36,11 +53,8 @@
 std::unique_ptr<Native> decode(std::span<const std::uint8_t> bytes)
 {
     using Table = typename Native::TableType;
-    flatbuffers::Verifier verifier(bytes.data(), bytes.size());
-    if (!verifier.VerifyBuffer<Table>(nullptr)) {
-        return nullptr;
-    }
-    return std::unique_ptr<Native>(flatbuffers::GetRoot<Table>(bytes.data())->UnPack());
+    const Table *table = verifiedRoot<Table>(bytes);
+    return std::unique_ptr<Native>(table == nullptr ? nullptr : table->UnPack());
 }
 
 /**
--- a/Tests/wire/frame.cpp
+++ b/Tests/wire/frame.cpp
@@ -98,3 +98,20 @@
     CHECK(checkHello(hello("c", 0, 0), "c", version) == WireError::VersionMismatch);
     CHECK(checkHello(hello("other", 1, 2), "c", version) == WireError::ClusterMismatch);
 }
+
+/** A message of more than a million tables, the default bound of the verifier, was written but counted as malformed when it was read back. */
+TEST_CASE(Codec, AMessageOfManyTablesIsReadBack)
+{
+    constexpr std::size_t tables = 1100000;
+    StepStateT step;
+    for (std::size_t i = 0; i < tables; ++i) {
+        step.tasks.push_back(std::make_unique<TaskStateT>());
+    }
+    step.tasks.back()->run = 7;
+    const Bytes bytes = encode(step);
+    const auto decoded = decode<StepStateT>(bytes);
+    CHECK(decoded != nullptr);
+    CHECK_EQUAL(tables, decoded->tasks.size());
+    CHECK_EQUAL(7U, decoded->tasks.back()->run);
+    CHECK(decode<StepStateT>(std::span(bytes).first(bytes.size() / 2)) == nullptr);
+}
