deployment: Send more than two advice requests at a time if they are short

Deployment.SmallStepsArePlacedBehindABacklogThatDoesNotFit failed since hosts send two requests at a time: where the way to the advice service takes longer than its decision, the service was idle between two requests. Up to five are sent now while they take less than 250 ms in all, by the leader's estimate, which goes with the request.

--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -66,6 +66,7 @@
     std::string step;
     std::vector<std::string> upstreams;
     std::uint64_t timeoutMs = 0;
+    std::uint64_t costMs = 0; ///< Estimated time that the service takes for it; 0 if not known.
 };
 
 /** Orders for a courier; an empty batch only requests a sample of its clock. */
@@ -160,7 +161,7 @@
     std::map<std::uint64_t, RemoteAdviceCall> adviceCalls; ///< Advice requests sent through other hosts, by call id.
     std::map<std::uint64_t, Origin> adviceOrigins; ///< Senders of the advice requests that this host makes for other hosts.
     std::deque<QueuedAdvice> queuedAdvice; ///< Requests to the advice service that aren't sent yet, in order.
-    std::set<std::uint64_t> adviceInProgress; ///< Requests to the advice service that were sent and aren't answered.
+    std::map<std::uint64_t, std::uint64_t> adviceInProgress; ///< Requests to the advice service that were sent and aren't answered: id to cost in ms.
     std::uint64_t adviceDropped = 0; ///< Requests that were never sent: their sender was lost, or their time was over.
     Token nextToken = 1ULL << 62U; ///< Above all tokens that local callers get.
     std::uint64_t nextCall = 1; ///< Begins at wire::firstCallId(): replies are addressed to a host and may arrive at a later process.
--- a/Source/deployment/hostadvice.cpp
+++ b/Source/deployment/hostadvice.cpp
@@ -9,8 +9,12 @@
 {
 namespace
 {
-/** Maximum number of requests sent to the advice service at a time. It handles them in turn, and can't be told that one is no longer needed. */
-constexpr std::size_t maxAdviceInProgress = 2;
+/** Number of requests that are sent to the advice service at a time, one to handle and one to begin with next. The service handles the requests of a host in
+ * turn, and can't be told that one is no longer needed. */
+constexpr std::size_t minAdviceInProgress = 2;
+/** Short requests take less than the way to the service and back: more of them are sent, up to this number and total time. */
+constexpr std::size_t maxAdviceInProgress = 5;
+constexpr std::uint64_t maxAdviceMsInProgress = 250;
 
 wire::ReplyT encodeAdviceReply(const AdviceReply &reply)
 {
@@ -46,10 +50,19 @@
     return host.adviceOrigins.count(id) > 0 || host.leader.pendingAdvice.count(id) > 0;
 }
 
+bool maySendAdvice(const Host &host)
+{
+    std::uint64_t totalMs = 0;
+    for (const auto &[id, costMs] : host.adviceInProgress) {
+        totalMs += costMs;
+    }
+    return host.adviceInProgress.size() < minAdviceInProgress || (host.adviceInProgress.size() < maxAdviceInProgress && totalMs < maxAdviceMsInProgress);
+}
+
 /** Sends the requests whose turn has come. Those that are no longer needed, or whose time is over, are dropped. */
 void sendQueuedAdvice(Host &host, const Now &now, HostOutput &output)
 {
-    while (!host.queuedAdvice.empty() && host.adviceInProgress.size() < maxAdviceInProgress) {
+    while (!host.queuedAdvice.empty() && maySendAdvice(host)) {
         QueuedAdvice next = std::move(host.queuedAdvice.front());
         host.queuedAdvice.pop_front();
         if (!isNeeded(host, next.request.id) || now.monotonicMs > next.deadlineMs) {
@@ -58,7 +71,7 @@
             continue;
         }
         next.request.timeoutMs = std::max<std::uint64_t>(next.deadlineMs - now.monotonicMs, 1);
-        host.adviceInProgress.insert(next.request.id);
+        host.adviceInProgress.emplace(next.request.id, next.request.costMs);
         output.advice.push_back(std::move(next.request));
     }
 }
@@ -89,7 +102,7 @@
 void requestAdvice(Host &host, AdviceCall call, const Now &now, HostOutput &output)
 {
     if (call.host.empty()) {
-        queueAdvice(host, {call.id, std::move(call.step), std::move(call.upstreams), call.timeoutMs}, now, output);
+        queueAdvice(host, {call.id, std::move(call.step), std::move(call.upstreams), call.timeoutMs, call.costMs}, now, output);
         return;
     }
     wire::RequestT request;
@@ -98,6 +111,7 @@
     request.advice = std::make_unique<wire::AdviceAskT>();
     request.advice->step = std::move(call.step);
     request.advice->upstreams = std::move(call.upstreams);
+    request.advice->costMs = static_cast<std::uint32_t>(call.costMs);
     host.adviceCalls[host.nextCall] = {call.id, call.host};
     output.calls.push_back({call.host, host.nextCall++, std::move(request)});
 }
@@ -106,7 +120,7 @@
 {
     const std::uint64_t id = host.leader.nextCall++; // Unique among the requests of the own leader, too.
     host.adviceOrigins[id] = std::move(origin);
-    queueAdvice(host, {id, std::move(request.advice->step), std::move(request.advice->upstreams), request.waitMs}, now, output);
+    queueAdvice(host, {id, std::move(request.advice->step), std::move(request.advice->upstreams), request.waitMs, request.advice->costMs}, now, output);
 }
 
 bool handleRemoteAdvice(Host &host, std::uint64_t call, const wire::ReplyT &reply, const Now &now)
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -135,6 +135,7 @@
     std::string step;
     std::vector<std::string> upstreams;
     std::uint64_t timeoutMs = 0;
+    std::uint64_t costMs = 0; ///< Estimated time that the service takes for it.
 };
 
 /** The advice service's reply. */
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -155,6 +155,7 @@
     call.id = leader.nextCall++;
     call.host = adviser.host;
     call.step = attempt.waiting.name;
+    call.costMs = static_cast<std::uint64_t>(std::ceil(costMs));
     call.timeoutMs = adviser.busyUntilMs - now.monotonicMs + adviceTimeoutMarginMs;
     PendingAdvice open{call.step, attempt.queue.name, adviser.host, adviser.busyUntilMs - now.monotonicMs, {}, now.monotonicMs, call.timeoutMs};
     for (const PlacementCandidate *candidate : requested) {
--- a/Tests/deployment/calls.cpp
+++ b/Tests/deployment/calls.cpp
@@ -197,6 +197,7 @@
         request.waitMs = waitMs;
         request.advice = std::make_unique<wire::AdviceAskT>();
         request.advice->step = from + "-" + std::to_string(call);
+        request.advice->costMs = 300;
         deployment::handleCall(process.host, from, call, std::move(request), process.now, process.output);
     };
     constexpr std::uint64_t requests = 10;
@@ -217,6 +218,7 @@
 /** A request that had waited until its sender gave it up was sent all the same. */
 TEST_CASE(Calls, AdviceRequestsAreSentInTurnAndInTime)
 {
+    constexpr std::uint64_t decisionMs = 200;
     EntryProcess process = startEntryProcess(1);
     for (std::uint64_t call = 1; call <= 5; ++call) {
         wire::RequestT request;
@@ -224,10 +226,10 @@
         request.waitMs = call == 3 ? 100 : waitMs;
         request.advice = std::make_unique<wire::AdviceAskT>();
         request.advice->step = "s" + std::to_string(call);
+        request.advice->costMs = decisionMs;
         deployment::handleCall(process.host, "c0", call, std::move(request), process.now, process.output);
     }
     std::string steps;
-    constexpr std::uint64_t decisionMs = 200;
     while (!process.output.advice.empty()) {
         process.now.monotonicMs += decisionMs;
         const deployment::LocalAdviceRequest sent = process.output.advice.front();
@@ -242,6 +244,23 @@
     CHECK(process.host.adviceInProgress.empty());
 }
 
+/** Short requests would wait for the way to the service and back if only two were sent at a time. */
+TEST_CASE(Calls, MoreShortAdviceRequestsAreSentAtATime)
+{
+    for (const auto &[costMs, sent] : {std::pair(7U, 5U), std::pair(50U, 5U), std::pair(100U, 3U), std::pair(326U, 2U)}) {
+        EntryProcess process = startEntryProcess(1);
+        for (std::uint64_t call = 1; call <= 10; ++call) {
+            wire::RequestT request;
+            request.operation = wire::Operation::Advise;
+            request.waitMs = waitMs;
+            request.advice = std::make_unique<wire::AdviceAskT>();
+            request.advice->costMs = costMs;
+            deployment::handleCall(process.host, "c0", call, std::move(request), process.now, process.output);
+        }
+        CHECK_EQUAL(std::size_t{sent}, process.output.advice.size());
+    }
+}
+
 /** Steps waited for the time-out of a request to the advice service after the host that had sent it was lost, and the call was kept for good. */
 TEST_CASE(Calls, AdviceRequestsThroughALostHostCountAsUnansweredAtOnce)
 {
