--- a/Source/storage/file.cpp
+++ b/Source/storage/file.cpp
@@ -4,9 +4,9 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <fstream>
-#include <iterator>
 #include <utility>
 
 namespace rosemaryturn::storage
@@ -101,7 +101,14 @@
         error = std::make_error_code(std::errc::no_such_file_or_directory);
         return {};
     }
-    return {std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>()};
+    const std::uintmax_t size = std::filesystem::file_size(path, error);
+    if (error) {
+        return {};
+    }
+    std::vector<std::uint8_t> bytes(size);
+    stream.read(reinterpret_cast<char *>(bytes.data()), static_cast<std::streamsize>(size));
+    bytes.resize(static_cast<std::size_t>(std::max<std::streamsize>(stream.gcount(), 0)));
+    return bytes;
 }
 
 std::error_code syncFolder(const std::filesystem::path &path)
--- a/Source/storage/journal.cpp
+++ b/Source/storage/journal.cpp
@@ -76,12 +76,40 @@
     return true;
 }
 
+/** @return about the number of bytes that a record is encoded to. */
+std::size_t estimatedBytes(const wire::JournalRecordT &record)
+{
+    constexpr std::size_t fixedBytes = 128;
+    const wire::EntryT *entry = record.body.AsEntry();
+    const wire::SnapshotImageT *snapshot = record.body.AsSnapshotImage();
+    return fixedBytes + (entry == nullptr ? 0 : entry->payload.size()) + (snapshot == nullptr ? 0 : snapshot->image.size());
+}
+
+/** Appends a batch. A snapshot takes a large part of the memory of a host, so that no further copies are made. */
+void appendBatch(wire::Bytes &bytes, std::span<const wire::JournalRecordT> records)
+{
+    std::size_t expectedBytes = 0;
+    for (const wire::JournalRecordT &record : records) {
+        expectedBytes += estimatedBytes(record);
+    }
+    flatbuffers::FlatBufferBuilder builder(expectedBytes);
+    std::vector<flatbuffers::Offset<wire::JournalRecord>> offsets;
+    for (const wire::JournalRecordT &record : records) {
+        offsets.push_back(wire::JournalRecord::Pack(builder, &record));
+    }
+    builder.Finish(wire::CreateJournalBatch(builder, builder.CreateVector(offsets)));
+    const std::span<const std::uint8_t> body(builder.GetBufferPointer(), builder.GetSize());
+    bytes.reserve(bytes.size() + headerBytes + body.size());
+    appendUint64(bytes, body.size());
+    appendUint64(bytes, batchChecksum(body.size(), body));
+    bytes.insert(bytes.end(), body.begin(), body.end());
+}
+
 wire::Bytes encodeJournal(std::span<const wire::JournalRecordT> records)
 {
     wire::Bytes bytes(fileMagic.begin(), fileMagic.end());
     if (!records.empty()) {
-        const wire::Bytes batch = encodeBatch(records);
-        bytes.insert(bytes.end(), batch.begin(), batch.end());
+        appendBatch(bytes, records);
     }
     return bytes;
 }
@@ -89,16 +117,8 @@
 
 wire::Bytes encodeBatch(std::span<const wire::JournalRecordT> records)
 {
-    wire::JournalBatchT batch;
-    for (const wire::JournalRecordT &record : records) {
-        batch.records.push_back(std::make_unique<wire::JournalRecordT>(record));
-    }
-    const wire::Bytes body = wire::encode(batch);
     wire::Bytes bytes;
-    bytes.reserve(headerBytes + body.size());
-    appendUint64(bytes, body.size());
-    appendUint64(bytes, batchChecksum(body.size(), body));
-    bytes.insert(bytes.end(), body.begin(), body.end());
+    appendBatch(bytes, records);
     return bytes;
 }
 
--- a/Source/transport/peerconnection.cpp
+++ b/Source/transport/peerconnection.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 constexpr std::size_t receiveBufferBytes = std::size_t{64} * 1024;
+/** Capacity above which the buffer of sent bytes is released. */
+constexpr std::size_t maxIdleOutputBytes = std::size_t{1024} * 1024;
 
 bool wouldBlock()
 {
@@ -70,9 +72,14 @@
 
 std::size_t PeerConnection::queue(const wire::PeerFrameT &frame)
 {
-    const wire::Bytes bytes = wire::encodeFrame(frame);
-    m_output.insert(m_output.end(), bytes.begin(), bytes.end());
-    return bytes.size();
+    wire::Bytes bytes = wire::encodeFrame(frame);
+    const std::size_t size = bytes.size();
+    if (m_output.empty()) {
+        m_output = std::move(bytes);
+    } else {
+        m_output.insert(m_output.end(), bytes.begin(), bytes.end());
+    }
+    return size;
 }
 
 std::error_code PeerConnection::flush(std::uint64_t nowMs)
@@ -89,6 +96,9 @@
         }
         m_sentBytes += static_cast<std::size_t>(written);
     }
+    if (m_output.capacity() > maxIdleOutputBytes) {
+        m_output = wire::Bytes();
+    }
     m_output.clear();
     m_sentBytes = 0;
     return {};
--- a/Source/wire/frame.cpp
+++ b/Source/wire/frame.cpp
@@ -9,6 +9,18 @@
 namespace
 {
 constexpr unsigned bitsPerByte = 8;
+/** Initial size of the buffer for a frame. */
+constexpr std::size_t initialBytes = 1024;
+/** Capacity above which the buffer of a stream is released once it is empty. */
+constexpr std::size_t maxIdleBytes = 1024U * 1024U;
+
+/** @return the size of the image that a frame contains; 0 for most frames. */
+std::size_t snapshotBytes(const PeerFrameT &frame)
+{
+    const ConsensusMessageT *message = frame.body.AsConsensusMessage();
+    const SnapshotRequestT *snapshot = message == nullptr ? nullptr : message->body.AsSnapshotRequest();
+    return snapshot == nullptr ? 0 : snapshot->image.size();
+}
 
 std::size_t readLength(const std::uint8_t *header)
 {
@@ -22,13 +34,15 @@
 
 Bytes encodeFrame(const PeerFrameT &frame)
 {
-    const Bytes body = encode(frame);
+    flatbuffers::FlatBufferBuilder builder(initialBytes + snapshotBytes(frame));
+    builder.Finish(PeerFrame::Pack(builder, &frame));
+    const std::size_t size = builder.GetSize();
     Bytes result;
-    result.reserve(frameHeaderBytes + body.size());
+    result.reserve(frameHeaderBytes + size);
     for (std::size_t i = 0; i < frameHeaderBytes; ++i) {
-        result.push_back(static_cast<std::uint8_t>(body.size() >> (bitsPerByte * i)));
+        result.push_back(static_cast<std::uint8_t>(size >> (bitsPerByte * i)));
     }
-    result.insert(result.end(), body.begin(), body.end());
+    result.insert(result.end(), builder.GetBufferPointer(), builder.GetBufferPointer() + size);
     return result;
 }
 
@@ -38,7 +52,13 @@
         m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<std::ptrdiff_t>(m_consumed));
         m_consumed = 0;
     }
+    if (m_buffer.empty() && m_buffer.capacity() > maxIdleBytes) {
+        m_buffer = Bytes();
+    }
     m_buffer.insert(m_buffer.end(), bytes.begin(), bytes.end());
+    if (m_buffer.size() >= frameHeaderBytes) {
+        m_buffer.reserve(frameHeaderBytes + std::min(readLength(m_buffer.data()), maxFrameBytes)); // A large frame arrives in many parts.
+    }
 }
 
 std::unique_ptr<PeerFrameT> FrameReader::next(std::error_code &error)
