--- a/Benchmarks/slopes.cpp
+++ b/Benchmarks/slopes.cpp
@@ -68,9 +68,9 @@
     print("snapshot of the cell", snapshot / 1000, "ms");
     print("size of a task in it", static_cast<double>(image.size()) / manyTasks, "bytes");
     const std::size_t before = heapBytes();
-    const control::CellState standby = control::decodeCellImage(image);
+    const control::CellState standby = control::decodeCellImage(image).value();
     const std::size_t standbyBytes = heapBytes() - before;
-    control::CellState closing = control::decodeCellImage(image);
+    control::CellState closing = control::decodeCellImage(image).value();
     wire::RetentionPassedT retention;
     retention.answersBeforeMs = UINT64_MAX;
     retention.mostKeys = UINT64_MAX;
@@ -84,7 +84,7 @@
         manyTasks);
     print("closing of a key whose answer is no longer kept", close, "us");
     const std::size_t beforeClosed = heapBytes();
-    const control::CellState reloaded = control::decodeCellImage(control::encodeImage(closing));
+    const control::CellState reloaded = control::decodeCellImage(control::encodeImage(closing)).value();
     print("state of a closed key", static_cast<double>(heapBytes() - beforeClosed) / static_cast<double>(reloaded.closed.size()), "bytes");
     print("state of an ended task, standby", static_cast<double>(standbyBytes) / manyTasks, "bytes");
 }
--- a/Source/consensus/node.cpp
+++ b/Source/consensus/node.cpp
@@ -55,19 +55,19 @@
     }
 }
 
-void restoreEntry(Node &node, const wire::EntryT &entry)
+void restoreEntry(Node &node, wire::EntryT &&entry)
 {
     if (entry.index == lastIndex(node.log) + 1) {
-        node.log.entries.push_back(std::make_shared<const wire::EntryT>(entry));
+        node.log.entries.push_back(std::make_shared<const wire::EntryT>(std::move(entry)));
     }
 }
 
-void restoreSnapshot(Node &node, const wire::SnapshotImageT &snapshot)
+void restoreSnapshot(Node &node, wire::SnapshotImageT &&snapshot)
 {
     node.log.entries.clear();
     node.log.snapshotIndex = snapshot.lastIndex;
     node.log.snapshotTerm = snapshot.lastTerm;
-    node.log.snapshotImage = snapshot.image;
+    node.log.snapshotImage = std::move(snapshot.image);
     if (snapshot.membership) {
         node.log.snapshotMembership = *snapshot.membership;
     }
@@ -92,7 +92,7 @@
     internal::resetElectionDeadline(node, nowMs);
 }
 
-void restore(Node &node, const wire::JournalRecordT &record)
+void restore(Node &node, wire::JournalRecordT record)
 {
     switch (record.body.type) {
     case wire::JournalBody::HardState:
@@ -100,7 +100,7 @@
         node.votedFor = record.body.AsHardState()->votedFor;
         return;
     case wire::JournalBody::Entry:
-        restoreEntry(node, *record.body.AsEntry());
+        restoreEntry(node, std::move(*record.body.AsEntry()));
         return;
     case wire::JournalBody::TruncateFrom:
         truncateFrom(node.log, record.body.AsTruncateFrom()->index);
@@ -109,14 +109,14 @@
         restoreWitness(node, *record.body.AsWitnessPosition());
         return;
     case wire::JournalBody::SnapshotImage:
-        restoreSnapshot(node, *record.body.AsSnapshotImage());
+        restoreSnapshot(node, std::move(*record.body.AsSnapshotImage()));
         return;
     case wire::JournalBody::NONE:
         return;
     }
 }
 
-wire::Bytes finishRestore(Node &node, std::uint64_t nowMs)
+const wire::Bytes &finishRestore(Node &node, std::uint64_t nowMs)
 {
     if (!node.witness) {
         internal::refreshMembership(node);
--- a/Source/consensus/node.h
+++ b/Source/consensus/node.h
@@ -113,7 +113,7 @@
     std::vector<wire::ConsensusMessageT> sendAfterSync; ///< Messages to send once all of persist is synced.
     std::vector<wire::ConsensusMessageT> sendNow; ///< Messages to send at once.
     std::vector<EntryPointer> committed; ///< Committed application entries to apply, in order.
-    std::optional<wire::Bytes> restoredImage; ///< Snapshot that replaces the application's state before committed is applied.
+    bool snapshotInstalled = false; ///< The image of the log's snapshot replaces the application's state before committed is applied.
     bool becameLeader = false;
     bool lostLeadership = false;
     bool replaceJournal = false; ///< The records in persist replace the whole journal.
@@ -143,7 +143,7 @@
  * @param node the node.
  * @param record the record.
  */
-void restore(Node &node, const wire::JournalRecordT &record);
+void restore(Node &node, wire::JournalRecordT record);
 
 /**
  * Completes the replay of the journal.
@@ -151,7 +151,7 @@
  * @param nowMs the current time.
  * @return the image of the last snapshot, from which the application starts; empty if there is none.
  */
-wire::Bytes finishRestore(Node &node, std::uint64_t nowMs);
+const wire::Bytes &finishRestore(Node &node, std::uint64_t nowMs);
 
 /** Performs the periodic work: heartbeats and elections. @param node the node. @param nowMs the current time. @param output receives the effects. */
 void tick(Node &node, std::uint64_t nowMs, Output &output);
--- a/Source/consensus/replication.cpp
+++ b/Source/consensus/replication.cpp
@@ -455,7 +455,7 @@
     node.commit = request.lastIndex;
     node.applied = request.lastIndex;
     refreshMembership(node);
-    output.restoredImage = request.image;
+    output.snapshotInstalled = true;
     output.committed.clear();
     output.persist = journalRecords(node);
     output.replaceJournal = true;
--- a/Source/control/cellstate.cpp
+++ b/Source/control/cellstate.cpp
@@ -223,13 +223,16 @@
     return wire::encode(image);
 }
 
-CellState decodeCellImage(const wire::Bytes &image)
+std::optional<CellState> decodeCellImage(std::span<const std::uint8_t> image)
 {
     CellState state;
-    const auto decoded = image.empty() ? nullptr : wire::decode<wire::CellImageT>(image);
-    if (!decoded) {
+    if (image.empty()) {
         return state;
     }
+    const auto decoded = wire::decode<wire::CellImageT>(image);
+    if (!decoded) {
+        return std::nullopt;
+    }
     state.nextTask = decoded->nextTask;
     for (const auto &taskImage : decoded->tasks) {
         model::Task task = model::taskOf(*taskImage);
--- a/Source/control/cellstate.h
+++ b/Source/control/cellstate.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -49,8 +51,8 @@
 /** @param state the state. @return the encoded snapshot. */
 wire::Bytes encodeImage(const CellState &state);
 
-/** @param image an encoded snapshot; empty for the state of a new cell. @return the state. */
-CellState decodeCellImage(const wire::Bytes &image);
+/** @param image an encoded snapshot; empty for the state of a new cell. @return the state; nothing if the snapshot can't be read. */
+std::optional<CellState> decodeCellImage(std::span<const std::uint8_t> image);
 
 /** @param state the state. @param key a request's key. @return the entry retained after its answer was dropped; null when the key is not closed. */
 const wire::ClosedKey *findClosedKey(const CellState &state, const std::string &key);
--- a/Source/control/configstate.cpp
+++ b/Source/control/configstate.cpp
@@ -212,14 +212,17 @@
     return wire::encode(image);
 }
 
-ConfigState decodeConfigImage(const wire::Bytes &image, const std::vector<std::string> &dataCentres)
+std::optional<ConfigState> decodeConfigImage(std::span<const std::uint8_t> image, const std::vector<std::string> &dataCentres)
 {
     ConfigState state;
     state.dataCentres = dataCentres;
-    const auto decoded = image.empty() ? nullptr : wire::decode<wire::ConfigImageT>(image);
-    if (!decoded) {
+    if (image.empty()) {
         return state;
     }
+    const auto decoded = wire::decode<wire::ConfigImageT>(image);
+    if (!decoded) {
+        return std::nullopt;
+    }
     for (const auto &environment : decoded->environments) {
         EnvironmentHistory &history = state.environments[environment->name];
         for (const auto &entry : environment->history) {
--- a/Source/control/configstate.h
+++ b/Source/control/configstate.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,6 @@
 /** @param state the state. @return its snapshot. */
 wire::Bytes encodeImage(const ConfigState &state);
 
-/** @param image a snapshot; empty for a new state. @param dataCentres from the settings. @return the state. */
-ConfigState decodeConfigImage(const wire::Bytes &image, const std::vector<std::string> &dataCentres);
+/** @param image a snapshot; empty for a new state. @param dataCentres from the settings. @return the state; nothing if the snapshot can't be read. */
+std::optional<ConfigState> decodeConfigImage(std::span<const std::uint8_t> image, const std::vector<std::string> &dataCentres);
 }
--- a/Source/control/controlloop.cpp
+++ b/Source/control/controlloop.cpp
@@ -146,6 +146,9 @@
 
 void ControlLoop::emit(HostOutput output)
 {
+    for (const RefusedSnapshot &refused : output.refusedSnapshots) {
+        telemetry::log(telemetry::Event::SnapshotRefused, {{"group", refused.group}, {"source", refused.source}, {"bytes", std::to_string(refused.bytes)}});
+    }
     for (consensus::PersistRequest &request : output.persist) {
         m_sinks.persist(std::move(request));
     }
--- a/Source/control/host.h
+++ b/Source/control/host.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <vector>
 
 namespace rosemaryturn::control
@@ -34,9 +35,18 @@
     wire::ReplyT reply;
 };
 
+/** A snapshot that can't be read, or that no frame can hold, and that wasn't used. */
+struct RefusedSnapshot
+{
+    std::string group;
+    const char *source; ///< "own" or "received".
+    std::size_t bytes = 0;
+};
+
 /** Effects that the caller of a function has to perform, in order within each list. */
 struct HostOutput
 {
+    std::vector<RefusedSnapshot> refusedSnapshots; ///< To be logged.
     std::vector<consensus::PersistRequest> persist;
     std::vector<wire::ConsensusMessageT> messages;
     std::vector<OutgoingCall> calls;
@@ -103,6 +113,8 @@
     std::uint64_t nextCall = 1; ///< Begins at wire::firstCallId().
     std::map<Token, SpillCall> spills; ///< Spill calls in progress.
     std::vector<std::pair<SpillCall, wire::ReplyT>> spillReplies; ///< Replies that the cell handles at the next tick.
+    std::map<std::string, std::uint64_t> nextSnapshotIndex; ///< By group: no snapshot is made before this index is applied.
+    std::uint64_t snapshotsRefused = 0; ///< Snapshots, own and received, that can't be read and weren't used.
     bool draining = false;
     std::map<std::string, std::string> lastResponder; ///< By data centre, the host that last replied without an error.
 };
@@ -114,10 +126,11 @@
  * @param journals the journal records of each group.
  * @param seed of all random choices, which no other process uses.
  * @param now the current time.
+ * @param error wire::WireError::SnapshotUnreadable; the host must then not be used.
  * @return the host.
  */
 Host makeHost(config::Settings settings, std::uint64_t incarnation, const std::map<std::string, std::vector<wire::JournalRecordT>> &journals,
-              std::uint64_t seed, const Now &now);
+              std::uint64_t seed, const Now &now, std::error_code &error);
 
 /** @param settings validated settings. @param host a host id. @return the consensus groups that the host is a member of. */
 std::vector<std::string> groupsOf(const config::Settings &settings, const std::string &host);
--- a/Source/control/hostgroups.cpp
+++ b/Source/control/hostgroups.cpp
@@ -1,5 +1,7 @@
 #include "control/hostinternal.h"
 #include "wire/callid.h"
+#include "wire/frame.h"
+#include "wire/wireerror.h"
 
 #include <algorithm>
 
@@ -94,13 +96,38 @@
     return node;
 }
 
-void loadImage(Host &host, const std::string &group, const wire::Bytes &image)
+/** Replaces the state of a group by that of a snapshot. @return false for a snapshot that can't be read; the state is unchanged then. */
+bool loadImage(Host &host, const std::string &group, const wire::Bytes &image)
 {
     if (group == globalGroup) {
-        host.config = decodeConfigImage(image, config::dataCentres(host.settings));
+        auto config = decodeConfigImage(image, config::dataCentres(host.settings));
+        if (!config) {
+            return false;
+        }
+        host.config = std::move(*config);
     } else if (group == cellGroup(host.dataCentre)) {
-        host.cell.state = decodeCellImage(image);
+        auto state = decodeCellImage(image);
+        if (!state) {
+            return false;
+        }
+        host.cell.state = std::move(*state);
     }
+    return true;
+}
+
+/** @return whether loadImage() can read the snapshot; groups without a state on this host have none to read. */
+bool isReadableImage(const Host &host, const std::string &group, const wire::Bytes &image)
+{
+    if (group == globalGroup) {
+        return wire::verifiedRoot<wire::ConfigImage>(image) != nullptr;
+    }
+    return group != cellGroup(host.dataCentre) || wire::verifiedRoot<wire::CellImage>(image) != nullptr;
+}
+
+void refuseSnapshot(Host &host, const std::string &group, const char *source, std::size_t bytes, HostOutput &output)
+{
+    ++host.snapshotsRefused;
+    output.refusedSnapshots.push_back({group, source, bytes});
 }
 
 void applyEntry(Host &host, const std::string &group, const wire::EntryT &entry, const Now &now, CellOutput &cellOutput, HostOutput &result)
@@ -146,9 +173,19 @@
     if (node.witness || node.applied - node.log.snapshotIndex < due) {
         return;
     }
-    const wire::Bytes image = node.group == globalGroup ? encodeImage(host.config) : encodeImage(host.cell.state);
+    std::uint64_t &nextIndex = host.nextSnapshotIndex[node.group];
+    if (node.applied < nextIndex) {
+        return;
+    }
+    wire::Bytes image = node.group == globalGroup ? encodeImage(host.config) : encodeImage(host.cell.state);
+    // The records that a snapshot replaces are gone, so that it must be readable, also for a host that gets it in a frame.
+    if (!isReadableImage(host, node.group, image) || !wire::fitsFrame(image.size())) {
+        refuseSnapshot(host, node.group, "own", image.size(), result);
+        nextIndex = node.applied + due;
+        return;
+    }
     consensus::Output output;
-    consensus::compact(node, image, node.applied, output);
+    consensus::compact(node, std::move(image), node.applied, output);
     consensus::PersistRequest request;
     request.group = node.group;
     request.records = std::move(output.persist);
@@ -185,7 +222,7 @@
 }
 
 Host makeHost(config::Settings settings, std::uint64_t incarnation, const std::map<std::string, std::vector<wire::JournalRecordT>> &journals,
-              std::uint64_t seed, const Now &now)
+              std::uint64_t seed, const Now &now, std::error_code &error)
 {
     Host host;
     host.settings = std::move(settings);
@@ -205,7 +242,10 @@
             for (const wire::JournalRecordT &record : journal->second) {
                 consensus::restore(node, record);
             }
-            loadImage(host, group, consensus::finishRestore(node, now.monotonicMs));
+            if (!loadImage(host, group, consensus::finishRestore(node, now.monotonicMs))) {
+                error = wire::WireError::SnapshotUnreadable;
+                return host;
+            }
         }
         host.groups.emplace(group, std::move(node));
     }
@@ -218,6 +258,11 @@
     if (found == host.groups.end()) {
         return;
     }
+    const wire::SnapshotRequestT *snapshot = message.body.AsSnapshotRequest();
+    if (snapshot != nullptr && snapshot->lastIndex > found->second.commit && !isReadableImage(host, message.group, snapshot->image)) {
+        refuseSnapshot(host, message.group, "received", snapshot->image.size(), output);
+        return;
+    }
     consensus::Output step;
     consensus::receive(found->second, message, now.monotonicMs, step);
     applyNodeOutput(host, found->second, std::move(step), now, output);
@@ -312,8 +357,8 @@
     for (wire::ConsensusMessageT &message : output.sendNow) {
         result.messages.push_back(std::move(message));
     }
-    if (output.restoredImage) {
-        loadImage(host, node.group, *output.restoredImage);
+    if (output.snapshotInstalled) {
+        loadImage(host, node.group, node.log.snapshotImage); // Checked by handleMessage().
         onConfigChanged(host.cell, now);
     }
     CellOutput cellOutput;
--- a/Source/control/hoststatus.cpp
+++ b/Source/control/hoststatus.cpp
@@ -172,6 +172,7 @@
                     {"answered", metrics.answered},
                     {"requeued", metrics.requeued},
                     {"spilled", metrics.spilled},
+                    {"snapshotsRefused", host.snapshotsRefused},
                     {"announcements", metrics.announcements},
                     {"records", metrics.records},
                     {"decisions", metrics.decisions},
--- a/Source/daemon/daemon.cpp
+++ b/Source/daemon/daemon.cpp
@@ -89,21 +89,18 @@
 class HostRuntime
 {
 public:
-    HostRuntime(const config::Settings &settings, RestoredState restored)
+    /** @param settings checked settings. @param host the restored control state. @param journals the open journals. */
+    HostRuntime(const config::Settings &settings, control::Host host, std::map<std::string, storage::Journal> journals)
         : m_settings(settings)
         , m_gateway(
               [this](control::Token token, wire::RequestT request) {
                   return m_loop->post(control::LocalRequestEvent{token, std::move(request)});
               },
               settings.limits.maxWaiters)
-        , m_network(settings, restored.incarnation, peerHandlers())
+        , m_network(settings, host.incarnation, peerHandlers())
     {
-        std::random_device random;
-        const std::uint64_t seed = (std::uint64_t{random()} << 32U) | random();
-        const control::Clock clock = control::systemClock();
-        control::Host host = control::makeHost(settings, restored.incarnation, restored.records, seed, clock());
-        m_loop = std::make_unique<control::ControlLoop>(std::move(host), clock, sinks());
-        m_journal = std::make_unique<storage::JournalThread>(std::move(restored.journals), journalSinks());
+        m_loop = std::make_unique<control::ControlLoop>(std::move(host), control::systemClock(), sinks());
+        m_journal = std::make_unique<storage::JournalThread>(std::move(journals), journalSinks());
         m_sender = std::make_unique<transport::StartSender>(
             settings.limits.startSenders, settings.timing.startTimeoutMs, [this](std::vector<control::StartReply> replies) {
                 m_loop->post(control::StartRepliesEvent{std::move(replies)});
@@ -303,8 +300,16 @@
         telemetry::log(Event::DataFolderRefused, {{"folder", settings.dataFolder}, {"cause", error.message()}});
         return ExitCode::WrongDataFolder;
     }
+    std::random_device random;
+    const std::uint64_t seed = (std::uint64_t{random()} << 32U) | random();
+    std::error_code error;
+    control::Host host = control::makeHost(settings, restored.incarnation, restored.records, seed, control::systemClock()(), error);
+    if (error) {
+        telemetry::log(Event::SnapshotUnreadable, {{"folder", settings.dataFolder}, {"cause", error.message()}});
+        return ExitCode::WrongDataFolder;
+    }
     transport::initialiseHttp();
-    HostRuntime runtime(settings, std::move(restored));
+    HostRuntime runtime(settings, std::move(host), std::move(restored.journals));
     if (const std::error_code error = runtime.start()) {
         telemetry::log(Event::HttpUnavailable, {{"cause", error.message()}});
         runtime.stop();
--- a/Source/daemon/deploymentdaemon.cpp
+++ b/Source/daemon/deploymentdaemon.cpp
@@ -159,7 +159,10 @@
 class DeploymentRuntime
 {
 public:
-    DeploymentRuntime(const config::DeploymentSettings &settings, RestoredState restored, const EdgeProtocol &protocol)
+    /** @param settings checked settings. @param host the restored control state. @param origin identifies this process to couriers. @param journals the open
+     * journals. @param protocol translates calls. */
+    DeploymentRuntime(const config::DeploymentSettings &settings, deployment::Host host, std::uint64_t origin, std::map<std::string, storage::Journal> journals,
+                      const EdgeProtocol &protocol)
         : m_settings(settings)
         , m_protocol(protocol)
         , m_gateway(
@@ -167,17 +170,15 @@
                   return m_loop->post(deployment::LocalEvent{token, std::move(request)});
               },
               maxWaiters)
-        , m_network(networkSettings(settings), restored.incarnation, peerHandlers())
-        , m_client(connectionsPerUpstream, [clock = m_clock] {
-            return clock().monotonicMs;
-        })
+        , m_network(networkSettings(settings), host.incarnation, peerHandlers())
+        , m_client(connectionsPerUpstream,
+                   [clock = m_clock] {
+                       return clock().monotonicMs;
+                   })
+        , m_origin(origin)
     {
-        std::random_device random;
-        m_origin = (std::uint64_t{random()} << 32U) | random();
-        const deployment::Clock clock = deployment::systemClock();
-        deployment::Host host = deployment::makeHost(hostOptions(settings), restored.incarnation, restored.records, m_origin, clock());
-        m_loop = std::make_unique<deployment::Loop>(std::move(host), clock, sinks());
-        m_journal = std::make_unique<storage::JournalThread>(std::move(restored.journals), journalSinks());
+        m_loop = std::make_unique<deployment::Loop>(std::move(host), deployment::systemClock(), sinks());
+        m_journal = std::make_unique<storage::JournalThread>(std::move(journals), journalSinks());
         if (!settings.dataFolder.empty()) {
             m_network.announceControl();
         }
@@ -460,7 +461,7 @@
     transport::Gateway m_gateway;
     transport::PeerNetwork m_network;
     transport::AsyncHttpClient m_client;
-    std::uint64_t m_origin = 0; ///< Identifies this process to the couriers that deliver its orders.
+    const std::uint64_t m_origin; ///< Identifies this process to the couriers that deliver its orders.
     std::atomic<std::uint64_t> m_openOrders{0};
     std::list<transport::HttpServer> m_servers;
     std::atomic<bool> m_ready{false};
@@ -531,10 +532,19 @@
         telemetry::log(Event::DataFolderRefused, {{"folder", settings->dataFolder}, {"cause", error.message()}});
         return static_cast<int>(ExitCode::WrongDataFolder);
     }
+    std::random_device random;
+    const std::uint64_t origin = (std::uint64_t{random()} << 32U) | random();
+    std::error_code error;
+    deployment::Host host
+        = deployment::makeHost(hostOptions(*settings), restored.incarnation, std::move(restored.records), origin, deployment::systemClock()(), error);
+    if (error) {
+        telemetry::log(Event::SnapshotUnreadable, {{"folder", settings->dataFolder}, {"cause", error.message()}});
+        return static_cast<int>(ExitCode::WrongDataFolder);
+    }
     transport::initialiseHttp();
     int code = static_cast<int>(ExitCode::Success);
     {
-        DeploymentRuntime runtime(*settings, std::move(restored), protocol);
+        DeploymentRuntime runtime(*settings, std::move(host), origin, std::move(restored.journals), protocol);
         if (const std::error_code error = runtime.start()) {
             telemetry::log(Event::HttpUnavailable, {{"cause", error.message()}});
             runtime.stop();
--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -77,6 +77,7 @@
     appendMetric(text, "requests_open", host.routed.size());
     appendMetric(text, "replies_unmatched_total", host.unmatchedReplies);
     appendMetric(text, "advice_dropped_total", host.adviceDropped);
+    appendMetric(text, "snapshots_refused_total", host.snapshotsRefused);
     appendMetric(text, "peer_bytes_within_total", traffic.bytesWithin);
     appendMetric(text, "peer_bytes_across_total", traffic.bytesAcross);
     appendMetric(text, "peer_connections_retired_total", traffic.connectionsRetired);
--- a/Source/deployment/host.cpp
+++ b/Source/deployment/host.cpp
@@ -2,6 +2,8 @@
 
 #include "storage/identity.h"
 #include "wire/callid.h"
+#include "wire/frame.h"
+#include "wire/wireerror.h"
 
 #include <algorithm>
 #include <iterator>
@@ -45,14 +47,27 @@
     });
 }
 
+void reportRefusedSnapshot(const char *source, std::uint64_t index, std::size_t bytes, HostOutput &output)
+{
+    output.decisions.push_back({"snapshot-refused", std::to_string(index), "source=" + std::string(source) + " bytes=" + std::to_string(bytes)});
+}
+
 void snapshotIfDue(Host &host, const Now &now, HostOutput &output)
 {
     consensus::Node &node = *host.node;
     if (host.pendingImage.empty()) {
-        if (node.applied - node.log.snapshotIndex < host.options.snapshotEveryEntries) {
+        if (node.applied - node.log.snapshotIndex < host.options.snapshotEveryEntries || node.applied < host.nextSnapshotIndex) {
             return;
         }
         host.pendingImage = job::encodeImage(host.state);
+        // The records that a snapshot replaces are gone, so that it must be readable, also for a host that gets it in a frame.
+        if (!job::isReadableImage(host.pendingImage) || !wire::fitsFrame(host.pendingImage.size())) {
+            ++host.snapshotsRefused;
+            reportRefusedSnapshot("own", node.applied, host.pendingImage.size(), output);
+            host.pendingImage = {};
+            host.nextSnapshotIndex = node.applied + host.options.snapshotEveryEntries;
+            return;
+        }
         host.pendingImageIndex = node.applied;
         host.pendingImageMs = now.monotonicMs;
     }
@@ -77,6 +92,25 @@
     output.persist.push_back(std::move(order));
 }
 
+/** Decodes the state of a leader's snapshot before it replaces the log. @return false for a snapshot that can't be read; the host keeps its own log then. */
+bool canInstallSnapshot(Host &host, const wire::ConsensusMessageT &message, HostOutput &output)
+{
+    const wire::SnapshotRequestT *request = message.body.AsSnapshotRequest();
+    if (request == nullptr || request->lastIndex <= host.node->commit) {
+        return true;
+    }
+    host.receivedState = job::decodeImage(request->image);
+    if (host.receivedState) {
+        return true;
+    }
+    ++host.snapshotsRefused;
+    if (host.lastRefusedSnapshot != request->lastIndex) {
+        host.lastRefusedSnapshot = request->lastIndex;
+        reportRefusedSnapshot("received", request->lastIndex, request->image.size(), output);
+    }
+    return false;
+}
+
 void applyEntry(Host &host, const wire::EntryT &entry, const Now &now, LeaderOutput &step)
 {
     const auto record = wire::decode<wire::RecordT>(entry.payload);
@@ -116,7 +150,8 @@
     return membership;
 }
 
-Host makeHost(HostOptions options, std::uint64_t incarnation, const std::vector<wire::JournalRecordT> &records, std::uint64_t seed, const Now &now)
+Host makeHost(HostOptions options, std::uint64_t incarnation, std::vector<wire::JournalRecordT> records, std::uint64_t seed, const Now &now,
+              std::error_code &error)
 {
     Host host;
     host.options = std::move(options);
@@ -135,10 +170,15 @@
     node.timing = host.options.timing;
     node.random.seed(seed);
     consensus::initialise(node, {}, now.monotonicMs);
-    for (const wire::JournalRecordT &record : records) {
-        consensus::restore(node, record);
+    for (wire::JournalRecordT &record : records) {
+        consensus::restore(node, std::move(record));
     }
-    host.state = job::decodeImage(consensus::finishRestore(node, now.monotonicMs));
+    auto state = job::decodeImage(consensus::finishRestore(node, now.monotonicMs));
+    if (!state) {
+        error = wire::WireError::SnapshotUnreadable;
+        return host;
+    }
+    host.state = std::move(*state);
     host.node = std::move(node);
     return host;
 }
@@ -148,9 +188,13 @@
     if (!host.node) {
         return;
     }
+    if (!canInstallSnapshot(host, message, output)) {
+        return;
+    }
     consensus::Output step;
     consensus::receive(*host.node, message, now.monotonicMs, step);
     internal::applyNodeOutput(host, std::move(step), now, output);
+    host.receivedState.reset();
 }
 
 void handlePersisted(Host &host, std::uint64_t index, std::uint64_t term, const Now &now, HostOutput &output)
@@ -291,8 +335,8 @@
     for (wire::ConsensusMessageT &message : step.sendNow) {
         output.messages.push_back(std::move(message));
     }
-    if (step.restoredImage) {
-        host.state = job::decodeImage(*step.restoredImage);
+    if (step.snapshotInstalled) {
+        host.state = std::move(host.receivedState.value());
     }
     LeaderOutput leaderStep;
     for (const consensus::EntryPointer &entry : step.committed) {
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <system_error>
 #include <vector>
 
 namespace rosemaryturn::deployment
@@ -167,6 +168,10 @@
     std::uint64_t nextCall = 1; ///< Begins at wire::firstCallId(): replies are addressed to a host and may arrive at a later process.
     std::uint64_t unmatchedReplies = 0; ///< Replies to no open call: late ones, and those to calls of an earlier process of this host.
     bool draining = false;
+    std::optional<job::State> receivedState; ///< State of the leader's snapshot that is being handled.
+    std::uint64_t snapshotsRefused = 0; ///< Snapshots, own and received, that can't be read and weren't used.
+    std::uint64_t lastRefusedSnapshot = 0; ///< Index of the latest received one, which is reported once.
+    std::uint64_t nextSnapshotIndex = 0; ///< No snapshot is made before this index is applied.
     wire::Bytes pendingImage; ///< A snapshot that is delayed until the members have the log up to it; empty for none.
     std::uint64_t pendingImageIndex = 0;
     std::uint64_t pendingImageMs = 0;
@@ -179,9 +184,11 @@
 /**
  * Creates a host.
  * @param options its configuration. @param incarnation the incarnation stored in its data folder, or a new one. @param records its journal; empty for a host
- * that joins. @param seed of all random choices, which no other process uses. @param now the current time. @return the host.
+ * that joins. @param seed of all random choices, which no other process uses. @param now the current time. @param error
+ * wire::WireError::SnapshotUnreadable; the host must then not be used. @return the host.
  */
-Host makeHost(HostOptions options, std::uint64_t incarnation, const std::vector<wire::JournalRecordT> &records, std::uint64_t seed, const Now &now);
+Host makeHost(HostOptions options, std::uint64_t incarnation, std::vector<wire::JournalRecordT> records, std::uint64_t seed, const Now &now,
+              std::error_code &error);
 
 /** Handles a request of a local caller. @param host the host. @param token identifies the answer. @param request the request, with waitMs. @param now the
  * current time. @param output receives the effects. */
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -31,7 +31,7 @@
                 run.gang = spec.gang;
                 run.longRunning = spec.longRunning;
                 run.crashes = task.crashes;
-                run.checkpoint = task.checkpoint;
+                run.checkpoint = job::checkpointOf(occurrence.steps[step], index);
                 run.startSentMs = leader.leadingSinceMs;
                 run.stopRequested = job::hasEnded(job.phase) && !task.done;
                 const auto upstreamState = leader.upstreams.find(task.upstream);
@@ -50,11 +50,11 @@
 bool mayHaveStarted(const job::Job &job)
 {
     const auto hasStarted = [](const job::Task &task) {
-        return task.done || task.failed > 0 || !task.checkpoint.empty();
+        return task.done || task.failed > 0;
     };
     return job::hasEnded(job.phase) || std::any_of(job.occurrences.begin(), job.occurrences.end(), [&hasStarted](const auto &occurrence) {
                return std::any_of(occurrence.second.steps.begin(), occurrence.second.steps.end(), [&hasStarted](const job::StepRuns &step) {
-                   return std::any_of(step.tasks.begin(), step.tasks.end(), hasStarted);
+                   return !step.checkpoints.empty() || std::any_of(step.tasks.begin(), step.tasks.end(), hasStarted);
                });
            });
 }
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -123,8 +123,7 @@
     UpstreamCall call = makeOrder(leader, state, CallKind::Start, upstreamState, run, now);
     call.payload = job.spec.payload;
     call.ticket = run.ticket;
-    const job::Task *task = job::findTask(state, run.task);
-    call.checkpoint = task == nullptr ? "" : task->checkpoint;
+    call.checkpoint = job::checkpointOf(state, run.task);
     call.leaseUntilMs = upstream::grantLease(upstreamState, leader.options.lease, now.monotonicMs);
     ++run.startsSent;
     run.startSentMs = now.monotonicMs;
--- a/Source/job/jobimage.cpp
+++ b/Source/job/jobimage.cpp
@@ -1,139 +1,230 @@
 #include "job/jobs.h"
 
-#include <memory>
+#include <map>
+#include <tuple>
+#include <utility>
 
 namespace rosemaryturn::job
 {
 namespace
 {
-std::unique_ptr<wire::OccurrenceStateT> imageOf(std::uint32_t number, const Occurrence &occurrence)
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+/** Writes the states of tasks. Most tasks of a step are in the same state, and all that are share one table. */
+class TaskWriter
 {
-    auto image = std::make_unique<wire::OccurrenceStateT>();
-    image->number = number;
-    for (const StepRuns &step : occurrence.steps) {
-        auto steps = std::make_unique<wire::StepStateT>();
-        for (const Task &task : step.tasks) {
-            auto entry = std::make_unique<wire::TaskStateT>();
-            entry->run = task.run;
-            entry->failed = task.failed;
-            entry->done = task.done;
-            entry->activeRun = task.activeRun;
-            entry->upstream = task.upstream;
-            entry->checkpoint = task.checkpoint;
-            entry->crashes = task.crashes;
-            entry->confirmedCrashes = task.confirmedCrashes;
-            entry->crashedRun = task.crashedRun;
-            steps->tasks.push_back(std::move(entry));
+public:
+    explicit TaskWriter(FlatBufferBuilder &builder)
+        : m_builder(builder)
+    {
+    }
+
+    Offset<wire::TaskState> write(const Task &task, const std::string &checkpoint)
+    {
+        const Key key{task.run, task.failed, task.done, task.activeRun, task.upstream, task.crashes, task.confirmedCrashes, task.crashedRun};
+        if (!m_last.IsNull() && key == m_lastKey && checkpoint == m_lastCheckpoint) {
+            return m_last;
+        }
+        m_lastKey = key;
+        m_lastCheckpoint = checkpoint;
+        if (!checkpoint.empty()) {
+            return m_last = create(task, m_builder.CreateString(checkpoint));
+        }
+        if (m_written.size() >= maxShared) {
+            m_written.clear();
         }
-        steps->failedGangRun = step.failedGangRun;
-        image->steps.push_back(std::move(steps));
+        const auto [entry, added] = m_written.try_emplace(key);
+        if (added) {
+            entry->second = create(task, 0);
+        }
+        return m_last = entry->second;
+    }
+
+private:
+    using Key = std::tuple<std::uint32_t, std::uint32_t, bool, std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t>;
+    static constexpr std::size_t maxShared = 10000; ///< Bounds the memory for states that few tasks share.
+
+    Offset<wire::TaskState> create(const Task &task, Offset<flatbuffers::String> checkpoint)
+    {
+        return wire::CreateTaskState(
+            m_builder, task.run, task.failed, task.done, task.activeRun, task.upstream, checkpoint, task.crashes, task.confirmedCrashes, task.crashedRun);
+    }
+
+    FlatBufferBuilder &m_builder;
+    std::map<Key, Offset<wire::TaskState>> m_written;
+    Key m_lastKey;
+    std::string m_lastCheckpoint;
+    Offset<wire::TaskState> m_last;
+};
+
+Offset<wire::StepState> writeStep(FlatBufferBuilder &builder, TaskWriter &tasks, const StepRuns &step)
+{
+    std::vector<Offset<wire::TaskState>> offsets;
+    offsets.reserve(step.tasks.size());
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        offsets.push_back(tasks.write(step.tasks[index], checkpointOf(step, index)));
     }
-    return image;
+    return wire::CreateStepState(builder, builder.CreateVector(offsets), step.failedGangRun);
 }
 
-std::unique_ptr<wire::JobStateT> imageOf(const Job &job)
+Offset<wire::JobState> writeJob(FlatBufferBuilder &builder, TaskWriter &tasks, const Job &job)
 {
-    auto image = std::make_unique<wire::JobStateT>();
-    image->accepted = std::make_unique<wire::JobAcceptedT>();
-    image->accepted->number = job.number;
-    image->accepted->atMs = job.acceptedAtMs;
-    image->accepted->spec = std::make_unique<wire::JobSpecT>(job.spec);
-    image->phase = static_cast<std::int8_t>(job.phase);
-    image->endedAtMs = job.endedAtMs;
+    std::vector<Offset<wire::OccurrenceState>> occurrences;
     for (const auto &[number, occurrence] : job.occurrences) {
-        image->occurrences.push_back(imageOf(number, occurrence));
+        std::vector<Offset<wire::StepState>> steps;
+        for (const StepRuns &step : occurrence.steps) {
+            steps.push_back(writeStep(builder, tasks, step));
+        }
+        occurrences.push_back(wire::CreateOccurrenceState(builder, number, builder.CreateVector(steps)));
     }
-    return image;
+    const auto accepted = wire::CreateJobAccepted(builder, job.number, job.acceptedAtMs, wire::JobSpec::Pack(builder, &job.spec));
+    return wire::CreateJobState(builder, accepted, static_cast<std::int8_t>(job.phase), job.endedAtMs, builder.CreateVector(occurrences));
 }
 
-Occurrence occurrenceFrom(const wire::OccurrenceStateT &image)
+/** @return whether the numbers of steps and tasks are those of the specification. */
+bool readOccurrence(const wire::OccurrenceState &image, const wire::JobSpecT &spec, Occurrence &occurrence)
 {
-    Occurrence occurrence;
-    for (const auto &step : image.steps) {
-        StepRuns &runs = occurrence.steps.emplace_back();
-        runs.failedGangRun = step->failedGangRun;
-        for (const auto &entry : step->tasks) {
-            runs.tasks.push_back({entry->run,
-                                  entry->failed,
-                                  entry->activeRun,
-                                  entry->upstream,
-                                  entry->done,
-                                  entry->checkpoint,
-                                  entry->crashes,
-                                  entry->confirmedCrashes,
-                                  entry->crashedRun});
-            runs.doneCount += entry->done ? 1 : 0;
-            runs.activeCount += entry->activeRun > 0 ? 1 : 0;
+    const auto *steps = image.steps();
+    if ((steps == nullptr ? 0 : steps->size()) != spec.steps.size()) {
+        return false;
+    }
+    occurrence.steps.resize(spec.steps.size());
+    for (std::uint32_t number = 0; number < spec.steps.size(); ++number) {
+        const wire::StepState &step = *steps->Get(number);
+        StepRuns &runs = occurrence.steps[number];
+        runs.failedGangRun = step.failedGangRun();
+        const std::uint32_t count = step.tasks() == nullptr ? 0 : step.tasks()->size();
+        if (count != 0 && count != spec.steps[number]->count) {
+            return false;
+        }
+        runs.tasks.reserve(count);
+        for (std::uint32_t index = 0; index < count; ++index) {
+            const wire::TaskState &task = *step.tasks()->Get(index);
+            runs.tasks.push_back(
+                {task.run(), task.failed(), task.activeRun(), task.upstream(), task.crashes(), task.confirmedCrashes(), task.crashedRun(), task.done()});
+            runs.doneCount += task.done() ? 1 : 0;
+            runs.activeCount += task.activeRun() > 0 ? 1 : 0;
+            if (task.checkpoint() != nullptr && task.checkpoint()->size() > 0) {
+                runs.checkpoints.resize(count);
+                runs.checkpoints[index] = task.checkpoint()->str();
+            }
         }
     }
-    return occurrence;
+    return true;
 }
 
-Job jobFrom(const wire::JobStateT &image)
+bool readJob(const wire::JobState &image, Job &job)
 {
-    Job job;
-    job.number = image.accepted->number;
-    job.acceptedAtMs = image.accepted->atMs;
-    job.spec = *image.accepted->spec;
-    job.phase = static_cast<Phase>(image.phase);
-    job.endedAtMs = image.endedAtMs;
-    for (const auto &occurrence : image.occurrences) {
-        job.occurrences[occurrence->number] = occurrenceFrom(*occurrence);
+    if (image.accepted() == nullptr || image.accepted()->spec() == nullptr) {
+        return false;
+    }
+    job.number = image.accepted()->number();
+    job.acceptedAtMs = image.accepted()->atMs();
+    image.accepted()->spec()->UnPackTo(&job.spec);
+    job.phase = static_cast<Phase>(image.phase());
+    job.endedAtMs = image.endedAtMs();
+    if (image.occurrences() != nullptr) {
+        for (const wire::OccurrenceState *occurrence : *image.occurrences()) {
+            if (!readOccurrence(*occurrence, job.spec, job.occurrences[occurrence->number()])) {
+                return false;
+            }
+        }
     }
     job.order = orderOf(job.spec);
     recountSteps(job);
-    return job;
+    return true;
+}
+
+Offset<wire::WaveState> writeWave(FlatBufferBuilder &builder, const Wave &wave)
+{
+    std::vector<Offset<wire::WaveMachine>> machines;
+    for (const auto &[name, machine] : wave.machines) {
+        machines.push_back(wire::WaveMachine::Pack(builder, &machine));
+    }
+    return wire::CreateWaveState(builder, wire::WaveStarted::Pack(builder, &wave.started), builder.CreateVector(machines));
+}
+
+bool readWave(const wire::WaveState &image, State &state)
+{
+    if (image.started() == nullptr) {
+        return false;
+    }
+    Wave &wave = state.waves[image.started()->wave()];
+    image.started()->UnPackTo(&wave.started);
+    if (image.machines() != nullptr) {
+        for (const wire::WaveMachine *machine : *image.machines()) {
+            wire::WaveMachineT entry;
+            machine->UnPackTo(&entry);
+            wave.machines[entry.machine] = entry;
+        }
+    }
+    return true;
 }
 }
 
 wire::Bytes encodeImage(const State &state)
 {
-    wire::DeploymentImageT image;
-    image.nextJob = state.nextJob;
-    image.nextUpstream = state.nextUpstream;
+    FlatBufferBuilder builder;
+    TaskWriter tasks(builder);
+    std::vector<Offset<wire::JobState>> jobs;
     for (const auto &[number, job] : state.jobs) {
-        image.jobs.push_back(imageOf(job));
+        jobs.push_back(writeJob(builder, tasks, job));
     }
+    std::vector<Offset<wire::UpstreamSeen>> upstreams;
     for (const auto &[number, upstream] : state.upstreams) {
-        image.upstreams.push_back(std::make_unique<wire::UpstreamSeenT>(upstream));
+        upstreams.push_back(wire::UpstreamSeen::Pack(builder, &upstream));
     }
-    image.plan = std::make_unique<wire::PlanAcceptedT>(state.plan);
+    std::vector<Offset<wire::WaveState>> waves;
     for (const auto &[number, wave] : state.waves) {
-        auto entry = std::make_unique<wire::WaveStateT>();
-        entry->started = std::make_unique<wire::WaveStartedT>(wave.started);
-        for (const auto &[name, machine] : wave.machines) {
-            entry->machines.push_back(std::make_unique<wire::WaveMachineT>(machine));
-        }
-        image.waves.push_back(std::move(entry));
+        waves.push_back(writeWave(builder, wave));
     }
-    return wire::encode(image);
+    const auto plan = wire::PlanAccepted::Pack(builder, &state.plan);
+    builder.Finish(wire::CreateDeploymentImage(
+        builder, state.nextJob, state.nextUpstream, builder.CreateVector(jobs), builder.CreateVector(upstreams), plan, builder.CreateVector(waves)));
+    return {builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize()};
 }
 
-State decodeImage(const wire::Bytes &bytes)
+bool isReadableImage(std::span<const std::uint8_t> bytes)
+{
+    return wire::verifiedRoot<wire::DeploymentImage>(bytes) != nullptr;
+}
+
+std::optional<State> decodeImage(std::span<const std::uint8_t> bytes)
 {
     State state;
-    const auto image = bytes.empty() ? nullptr : wire::decode<wire::DeploymentImageT>(bytes);
-    if (!image) {
-        return state; // The journal's checksum covers the image, so this is only reached without an image.
-    }
-    state.nextJob = image->nextJob;
-    state.nextUpstream = image->nextUpstream;
-    for (const auto &entry : image->jobs) {
-        Job job = jobFrom(*entry);
-        state.jobNumberById[job.spec.id] = job.number;
-        state.jobs.emplace(job.number, std::move(job));
-    }
-    for (const auto &upstream : image->upstreams) {
-        state.upstreams[upstream->number] = *upstream;
-    }
-    if (image->plan) {
-        state.plan = *image->plan;
-    }
-    for (const auto &entry : image->waves) {
-        Wave &wave = state.waves[entry->started->wave];
-        wave.started = *entry->started;
-        for (const auto &machine : entry->machines) {
-            wave.machines[machine->machine] = *machine;
+    if (bytes.empty()) {
+        return state;
+    }
+    const wire::DeploymentImage *image = wire::verifiedRoot<wire::DeploymentImage>(bytes);
+    if (image == nullptr) {
+        return std::nullopt;
+    }
+    state.nextJob = image->nextJob();
+    state.nextUpstream = image->nextUpstream();
+    if (image->jobs() != nullptr) {
+        for (const wire::JobState *entry : *image->jobs()) {
+            Job job;
+            if (!readJob(*entry, job)) {
+                return std::nullopt;
+            }
+            state.jobNumberById[job.spec.id] = job.number;
+            state.jobs.emplace(job.number, std::move(job));
+        }
+    }
+    if (image->upstreams() != nullptr) {
+        for (const wire::UpstreamSeen *upstream : *image->upstreams()) {
+            upstream->UnPackTo(&state.upstreams[upstream->number()]);
+        }
+    }
+    if (image->plan() != nullptr) {
+        image->plan()->UnPackTo(&state.plan);
+    }
+    if (image->waves() != nullptr) {
+        for (const wire::WaveState *wave : *image->waves()) {
+            if (!readWave(*wave, state)) {
+                return std::nullopt;
+            }
         }
     }
     return state;
--- a/Source/job/jobs.cpp
+++ b/Source/job/jobs.cpp
@@ -127,18 +127,16 @@
     }
 }
 
-void storeCheckpoint(StepRuns &runs, const wire::StepSpecT &spec, Task &task, const std::string &checkpoint)
+void storeCheckpoint(StepRuns &runs, const wire::StepSpecT &spec, std::uint32_t index, const std::string &checkpoint)
 {
     if (checkpoint.empty()) {
         return;
     }
     if (!spec.gang) {
-        task.checkpoint = checkpoint;
+        setCheckpoint(runs, index, checkpoint);
         return;
     }
-    for (Task &member : runs.tasks) {
-        member.checkpoint = checkpoint; // A checkpoint applies to the whole gang, and all members must have the same one.
-    }
+    runs.checkpoints.assign(runs.tasks.size(), checkpoint); // A checkpoint applies to the whole gang, and all members must have the same one.
 }
 
 void countFailure(StepRuns &runs, const wire::StepSpecT &spec, Task &task, std::uint32_t run)
@@ -227,7 +225,7 @@
     runs.activeCount -= task->activeRun == 0 ? 0 : 1;
     task->activeRun = 0;
     task->upstream = 0;
-    storeCheckpoint(runs, spec, *task, end.checkpoint);
+    storeCheckpoint(runs, spec, end.index, end.checkpoint);
     if (end.end == wire::RunEnd::Done && !spec.longRunning) {
         const bool wasDone = isStepDone(job, end.occurrence, end.step);
         applyDone(runs, spec, *task);
@@ -449,16 +447,41 @@
     return queue == nullptr ? std::nullopt : std::optional(std::max<std::uint32_t>(queue->attempts, 1));
 }
 
-const Task *findTask(const State &state, const TaskRef &ref)
+namespace
+{
+const StepRuns *findStep(const State &state, const TaskRef &ref)
 {
     const auto found = state.jobs.find(ref.job);
     if (found == state.jobs.end()) {
         return nullptr;
     }
     const Occurrence &occurrence = occurrenceOf(found->second, ref.occurrence);
-    if (ref.step >= occurrence.steps.size() || ref.index >= occurrence.steps[ref.step].tasks.size()) {
-        return nullptr;
-    }
-    return &occurrence.steps[ref.step].tasks[ref.index];
+    return ref.step < occurrence.steps.size() ? &occurrence.steps[ref.step] : nullptr;
+}
+}
+
+const std::string &checkpointOf(const StepRuns &step, std::uint32_t index)
+{
+    static const std::string none;
+    return index < step.checkpoints.size() ? step.checkpoints[index] : none;
+}
+
+const std::string &checkpointOf(const State &state, const TaskRef &ref)
+{
+    static const StepRuns none;
+    const StepRuns *step = findStep(state, ref);
+    return checkpointOf(step == nullptr ? none : *step, ref.index);
+}
+
+void setCheckpoint(StepRuns &step, std::uint32_t index, std::string checkpoint)
+{
+    step.checkpoints.resize(step.tasks.size());
+    step.checkpoints[index] = std::move(checkpoint);
+}
+
+const Task *findTask(const State &state, const TaskRef &ref)
+{
+    const StepRuns *step = findStep(state, ref);
+    return step == nullptr || ref.index >= step->tasks.size() ? nullptr : &step->tasks[ref.index];
 }
 }
--- a/Source/job/jobs.h
+++ b/Source/job/jobs.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -33,17 +34,19 @@
     std::uint32_t failed = 0; ///< Number of runs that failed.
     std::uint32_t activeRun = 0; ///< The run that may be in progress; 0 for none.
     std::uint32_t upstream = 0; ///< Number of the upstream of the active run; 0 for none.
-    bool done = false;
-    std::string checkpoint; ///< Latest checkpoint; empty for none.
     std::uint32_t crashes = 0; ///< Number of runs under which an upstream crashed, or may have.
     std::uint32_t confirmedCrashes = 0; ///< Number of those that are known to have been in progress.
     std::uint32_t crashedRun = 0; ///< Latest run counted as a crash; 0 for none.
+    bool done = false;
+
+    bool operator==(const Task &) const = default;
 };
 
 /** The tasks of one step in one occurrence of a job. */
 struct StepRuns
 {
     std::vector<Task> tasks; ///< Empty before the first one is placed.
+    std::vector<std::string> checkpoints; ///< Latest checkpoint of each task; empty before the first one.
     std::uint32_t doneCount = 0;
     std::uint32_t activeCount = 0;
     std::uint32_t failedGangRun = 0; ///< Latest gang run counted as failed; the failures of its members count once.
@@ -114,8 +117,11 @@
 /** @param state the state. @return its encoded image. */
 wire::Bytes encodeImage(const State &state);
 
-/** @param bytes an encoded image; empty for the initial state. @return the state. */
-State decodeImage(const wire::Bytes &bytes);
+/** @param bytes an encoded image. @return whether its structure is intact, so that decodeImage() can read it. */
+bool isReadableImage(std::span<const std::uint8_t> bytes);
+
+/** @param bytes an encoded image; empty for the initial state. @return the state; nothing if the image can't be read. */
+std::optional<State> decodeImage(std::span<const std::uint8_t> bytes);
 
 /** @param spec a job's specification. @return the order of its steps; takes time in proportion to the length of the `after` lists. */
 StepOrder orderOf(const wire::JobSpecT &spec);
@@ -154,6 +160,15 @@
  * contain its queue. */
 std::optional<std::uint32_t> maxAttemptsOf(const State &state, const Job &job);
 
+/** @param step the tasks of a step. @param index one of them. @return its latest checkpoint; empty for none. */
+const std::string &checkpointOf(const StepRuns &step, std::uint32_t index);
+
+/** @param state the state. @param ref a task. @return its latest checkpoint; empty for none. */
+const std::string &checkpointOf(const State &state, const TaskRef &ref);
+
+/** Stores the latest checkpoint of a task. @param step the tasks of a step. @param index one of them. @param checkpoint its checkpoint. */
+void setCheckpoint(StepRuns &step, std::uint32_t index, std::string checkpoint);
+
 /** @param state the state. @param ref a task. @return the task, or null if it doesn't exist. */
 const Task *findTask(const State &state, const TaskRef &ref);
 }
--- a/Source/telemetry/event.h
+++ b/Source/telemetry/event.h
@@ -18,6 +18,8 @@
     JournalTornTail = 2002,
     JournalFailed = 2003,
     DataFolderRefused = 2004,
+    SnapshotUnreadable = 2005,
+    SnapshotRefused = 2006,
     LeadershipGained = 3001,
     LeadershipLost = 3002,
     MembershipChanged = 3003,
--- a/Source/wire/frame.h
+++ b/Source/wire/frame.h
@@ -22,6 +22,13 @@
 /** Newest protocol version that this build supports. */
 constexpr std::uint16_t newestProtocolVersion = 3;
 
+/** @param imageBytes size of a snapshot's image. @return whether a frame can hold it with its membership and headers. */
+constexpr bool fitsFrame(std::size_t imageBytes)
+{
+    constexpr std::size_t overheadBytes = 1024U * 1024U;
+    return imageBytes <= maxFrameBytes - overheadBytes;
+}
+
 /**
  * Wraps a message in a frame.
  * @tparam Body a member of the union PeerBody in object form.
--- a/Source/wire/wireerror.cpp
+++ b/Source/wire/wireerror.cpp
@@ -25,6 +25,9 @@
             return "message does not match the schema";
         case WireError::VersionMismatch:
             return "no common protocol version; upgrade the older host";
+        case WireError::SnapshotUnreadable:
+            return "the snapshot in the journal can't be read by this build, and the journal is left as it is; start the build that wrote it, or move the data "
+                   "folder away and let the host join as a new member";
         case WireError::ClusterMismatch:
             return "peer belongs to another cluster; check the setting cluster";
         }
--- a/Source/wire/wireerror.h
+++ b/Source/wire/wireerror.h
@@ -11,6 +11,7 @@
     Malformed, ///< The bytes aren't a valid FlatBuffers table.
     VersionMismatch, ///< The peer supports no protocol version that this process supports.
     ClusterMismatch, ///< The peer belongs to another cluster.
+    SnapshotUnreadable, ///< The snapshot in a journal is intact, but can't be read.
 };
 
 /** @return the category of all errors of the wire area. */
--- a/Tests/consensus/node.cpp
+++ b/Tests/consensus/node.cpp
@@ -651,7 +651,7 @@
 
     Node follower = restarted(group, host, group.journals[host]);
     const consensus::Output output = receiveSnapshot(follower, leader, covered, consensus::termAt(leader.log, covered), group.nowMs);
-    CHECK(output.restoredImage.has_value() && output.replaceJournal);
+    CHECK(output.snapshotInstalled && output.replaceJournal);
     CHECK_EQUAL(covered, follower.applied);
     CHECK_EQUAL(covered, follower.log.snapshotIndex);
     CHECK_EQUAL(last, consensus::lastIndex(follower.log));
--- a/Tests/control/cell.cpp
+++ b/Tests/control/cell.cpp
@@ -544,8 +544,8 @@
     });
     CHECK(bench.errorOf(reused) == Reason::KeyReused);
     const wire::Bytes image = control::encodeImage(bench.cell.state);
-    CHECK((control::encodeImage(control::decodeCellImage(image)) == image));
-    CHECK(control::findClosedKey(control::decodeCellImage(image), "k@dc1") != nullptr);
+    CHECK((control::encodeImage(control::decodeCellImage(image).value()) == image));
+    CHECK(control::findClosedKey(control::decodeCellImage(image).value(), "k@dc1") != nullptr);
     bench.run(100000);
     CHECK(control::findClosedKey(bench.cell.state, "k@dc1") == nullptr);
     CHECK(bench.cell.state.keys.empty());
@@ -596,8 +596,8 @@
     bench.run(100);
     bench.finishTask(bench.starts[0]);
     const wire::Bytes image = control::encodeImage(bench.cell.state);
-    CHECK((control::encodeImage(control::decodeCellImage(image)) == image));
-    CHECK_EQUAL(std::size_t{2}, control::tasksOf(control::decodeCellImage(image), "g@dc1").size());
+    CHECK((control::encodeImage(control::decodeCellImage(image).value()) == image));
+    CHECK_EQUAL(std::size_t{2}, control::tasksOf(control::decodeCellImage(image).value(), "g@dc1").size());
 }
 
 TEST_CASE(Cell, LeaderWithoutLeaseRefusesRequests)
--- a/Tests/control/configstate.cpp
+++ b/Tests/control/configstate.cpp
@@ -124,7 +124,7 @@
         CHECK(prepareAndApply(state, change("r" + std::to_string(i), i, R"({"teams":[{"name":"t)" + std::to_string(i) + R"("}]})")).error == Reason::None);
     }
     const wire::Bytes image = control::encodeImage(state);
-    ConfigState again = control::decodeConfigImage(image, {});
+    ConfigState again = control::decodeConfigImage(image, {}).value();
     CHECK((control::encodeImage(again) == image));
     CHECK_EQUAL(std::uint64_t{1000}, control::inForce(again, "production")->revision);
     CHECK_TEXT("t999", again.environments.at("production").document.teams.at(0).name);
--- a/Tests/deployment/calls.cpp
+++ b/Tests/deployment/calls.cpp
@@ -31,7 +31,8 @@
     options.host = "e0";
     options.seeds = {"c0"};
     EntryProcess process;
-    process.host = deployment::makeHost(options, 1, {}, seed, process.now);
+    std::error_code error;
+    process.host = deployment::makeHost(options, 1, {}, seed, process.now, error);
     deployment::handlePeer(process.host, "c0", {true, true, 1, "dc1", false}, process.now, process.output);
     deployment::tick(process.host, process.now, process.output);
     wire::ReplyT topology;
--- a/Tests/deployment/membership.cpp
+++ b/Tests/deployment/membership.cpp
@@ -555,7 +555,8 @@
     options.host = "c0";
     options.control = true;
     deployment::Now now{10000, 10000};
-    deployment::Host host = deployment::makeHost(options, storage::foundingIncarnation, {}, 1, now);
+    std::error_code error;
+    deployment::Host host = deployment::makeHost(options, storage::foundingIncarnation, {}, 1, now, error);
     consensus::initialise(*host.node, deployment::foundingMembership({"c0", "c1"}), now.monotonicMs);
     deployment::HostOutput output;
     deployment::tick(host, now, output);
--- a/Tests/fakes/bench.cpp
+++ b/Tests/fakes/bench.cpp
@@ -108,8 +108,9 @@
             });
         }
     }
-    host.host
-        = std::make_unique<control::Host>(control::makeHost(makeSettings(host.id, m_centres, m_secondHostsDurable), host.incarnation, disk, m_random(), now()));
+    std::error_code error;
+    host.host = std::make_unique<control::Host>(
+        control::makeHost(makeSettings(host.id, m_centres, m_secondHostsDurable), host.incarnation, disk, m_random(), now(), error));
     std::erase_if(m_reportedPeers, [&host](const auto &reported) {
         return reported.first.first == host.id;
     });
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -194,7 +194,11 @@
     } else if (!host.control) {
         host.incarnation = m_random() / 2;
     }
-    host.host = deployment::makeHost(settings, host.incarnation, host.disk, m_random(), now(host));
+    std::error_code error;
+    host.host = deployment::makeHost(settings, host.incarnation, host.disk, m_random(), now(host), error);
+    if (error) {
+        violations.push_back("UNREADABLE " + host.id + ": " + error.message());
+    }
     connectAll(host, true);
     const auto repeatTick = std::make_shared<std::function<void()>>();
     *repeatTick = [this, id = host.id, generation = host.generation, repeatTick] {
--- a/Tests/job/jobs.cpp
+++ b/Tests/job/jobs.cpp
@@ -147,7 +147,7 @@
         putPlan(state, 0);
         end(state, 0, 0, 2, wire::RunEnd::Failed);
         CHECK(phaseOf(state) == job::Phase::Running);
-        state = job::decodeImage(job::encodeImage(state));
+        state = job::decodeImage(job::encodeImage(state)).value();
         putPlan(state, 2);
         CHECK(phaseOf(state) == job::Phase::Failed);
     }
@@ -189,7 +189,7 @@
     place(state, 0, 0, 1);
     place(state, 0, 1, 1);
     end(state, 0, 1, 1, wire::RunEnd::Stopped, "c7");
-    CHECK_TEXT("c7", job::findTask(state, {1, 0, 0, 0})->checkpoint);
+    CHECK_TEXT("c7", job::checkpointOf(state, job::TaskRef{1, 0, 0, 0}));
 }
 
 TEST_CASE(Jobs, ASecondEndOfARunChangesNothing)
@@ -219,11 +219,11 @@
     place(state, 0, 0, 1);
     end(state, 0, 0, 1, wire::RunEnd::Failed, "c1");
     place(state, 0, 0, 2);
-    const job::State copy = job::decodeImage(job::encodeImage(state));
+    const job::State copy = job::decodeImage(job::encodeImage(state)).value();
     const job::Task &task = *job::findTask(copy, {1, 0, 0, 0});
     CHECK_EQUAL(2U, task.activeRun);
     CHECK_EQUAL(1U, task.failed);
-    CHECK_TEXT("c1", task.checkpoint);
+    CHECK_TEXT("c1", job::checkpointOf(copy, job::TaskRef{1, 0, 0, 0}));
     CHECK_EQUAL(1U, copy.jobs.at(1).occurrences.at(0).steps[0].activeCount);
     CHECK_EQUAL(std::uint64_t{1}, copy.plan.version);
     CHECK(copy.jobNumberById.count("j") == 1);
@@ -278,7 +278,7 @@
     job::State state = stateWithJob({makeStep(1)});
     place(state, 0, 0, 1);
     crash(state, 0, 1);
-    job::State copy = job::decodeImage(job::encodeImage(state));
+    job::State copy = job::decodeImage(job::encodeImage(state)).value();
     crash(copy, 0, 1);
     CHECK_EQUAL(1U, job::findTask(copy, {1, 0, 0, 0})->crashes);
 }
