deployment: Refuse jobs that the control hosts have no memory for

A job beyond memoryMb less 96 MB is refused at once with 503 state-full, a counter and both sizes in the log; jobs whose records aren't committed count.

Jobs.TheMemoryOfJobsIsCounted, Leader.AJobWithoutRoomIsRefusedAtOnce, JobsThatAreProposedCountForTheRoom and OccurrencesWithoutRoomWait are new; they don't compile on the code before, which has neither size nor bound.

--- a/Source/config/deploymentsettings.h
+++ b/Source/config/deploymentsettings.h
@@ -42,6 +42,7 @@
     std::uint64_t graceMs = 0;
     std::uint64_t keepJobsMs = 0;
     std::uint64_t heartbeatMs = 0;
+    std::uint64_t memoryMb = 0; ///< Memory that the process may use.
     std::uint64_t couriersFromUpstreams = 0; ///< Number of upstreams from which non-voting hosts (couriers) deliver the orders of the leader.
 };
 
--- a/Source/daemon/deploymentdaemon.cpp
+++ b/Source/daemon/deploymentdaemon.cpp
@@ -125,6 +125,14 @@
     return {};
 }
 
+/** @param memoryMb memory that the process may use. @return the part of it that jobs may take, in bytes. */
+std::uint64_t maxHeldBytes(std::uint64_t memoryMb)
+{
+    constexpr std::uint64_t processMb = 96; // The program, its connections and the log between two snapshots; docs/CAPACITY.md.
+    constexpr std::uint64_t bytesPerMb = 1024U * 1024U;
+    return std::max(memoryMb - std::min(memoryMb, processMb), memoryMb / 4) * bytesPerMb;
+}
+
 deployment::HostOptions hostOptions(const config::DeploymentSettings &settings)
 {
     deployment::HostOptions options;
@@ -140,6 +148,7 @@
     options.leader.gangWaitMs = settings.gangWaitMs;
     options.leader.drainMs = settings.drainMs;
     options.leader.keepJobsMs = settings.keepJobsMs;
+    options.leader.maxHeldBytes = maxHeldBytes(settings.memoryMb);
     options.leader.maxSilenceMs = settings.heartbeatMs * 5 / 2;
     return options;
 }
--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -74,6 +74,10 @@
     appendMetric(text, "orders_lost_with_courier_total", host.couriers.ordersLost);
     appendMetric(text, "plan_version", host.state.plan.version);
     appendMetric(text, "jobs", host.state.jobs.size());
+    appendMetric(text, "held_bytes", host.state.heldBytes);
+    appendMetric(text, "held_bytes_max", host.options.leader.maxHeldBytes);
+    appendMetric(text, "jobs_without_room_total", host.leader.counters.jobsWithoutRoom);
+    appendMetric(text, "occurrences_without_room_total", host.leader.counters.occurrencesWithoutRoom);
     appendMetric(text, "requests_open", host.routed.size());
     appendMetric(text, "replies_unmatched_total", host.unmatchedReplies);
     appendMetric(text, "advice_dropped_total", host.adviceDropped);
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -1,6 +1,7 @@
 #include "deployment/leader.h"
 
 #include "deployment/placing.h"
+#include "job/footprint.h"
 
 #include <algorithm>
 #include <utility>
@@ -91,6 +92,9 @@
 void applyJobAccepted(Leader &leader, const job::State &state, const wire::JobAcceptedT &record, const Now &now, LeaderOutput &output)
 {
     const std::string &id = record.spec->id;
+    if (leader.pendingSubmits.count(id) > 0) {
+        leader.proposedBytes -= std::min(leader.proposedBytes, job::acceptedBytes(*record.spec));
+    }
     const auto number = state.jobNumberById.find(id);
     if (number == state.jobNumberById.end()) {
         return;
@@ -199,6 +203,7 @@
     if (const auto *accepted = record.change.AsJobAccepted()) {
         applyJobAccepted(leader, state, *accepted, now, output);
     } else if (const auto *placed = record.change.AsRunsPlaced()) {
+        internal::closePlacedOccurrences(leader, *placed);
         internal::startPlacedRuns(leader, state, *placed, now, output);
     } else if (const auto *ended = record.change.AsRunsEnded()) {
         internal::applyRunsEnded(leader, state, *ended, now, output);
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -46,6 +46,7 @@
     std::uint64_t resendMs = 150; ///< Delay before an unanswered order is sent again.
     std::uint64_t gangWaitMs = 3000; ///< Time for which an upstream lets the members of a gang wait for each other.
     std::uint64_t maxShapeAgeMs = 3500; ///< Time after a heartbeat for which the capacity that it stated may be filled: two heartbeats.
+    std::uint64_t maxHeldBytes = 160ULL << 20U; ///< Memory for the jobs that are held, as job/footprint.h estimates it; a job beyond it is refused.
     std::uint32_t maxCrashes = 4; ///< Number of upstreams whose crash under a task fails its job.
     std::uint32_t maxPossibleCrashes = 5; ///< The same, with those counted whose start had no answer.
 };
@@ -289,6 +290,8 @@
     std::uint64_t runsCrashed = 0; ///< Runs that were in progress on them.
     std::uint64_t jobsGivenUp = 0; ///< Jobs that failed since too many upstreams crashed under one of their tasks.
     std::uint64_t jobsFailedByPlan = 0; ///< Jobs that failed with a plan, as a task had failed as often as the plan allows.
+    std::uint64_t jobsWithoutRoom = 0; ///< Refusals of jobs that the state has no room for.
+    std::uint64_t occurrencesWithoutRoom = 0; ///< Occurrences of timed jobs that were due and had to wait for room.
     std::uint64_t badHeartbeats = 0; ///< Heartbeats that describe no upstream to use.
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
@@ -318,6 +321,10 @@
     std::vector<Adviser> advisers;
     bool hasShortRequests = false; ///< Whether the plan has a queue whose requests to the advice service are short.
     std::unordered_map<std::string, std::vector<Token>> pendingSubmits; ///< Requests that wait for a job's record, by id of the job.
+    std::uint64_t proposedBytes = 0; ///< Memory for the jobs in pendingSubmits, whose records aren't committed.
+    /** Memory for the occurrences that wait without a place in the state, by job and number. */
+    std::map<std::pair<std::uint64_t, std::uint32_t>, std::uint64_t> openOccurrences;
+    std::uint64_t openBytes = 0; ///< Sum of openOccurrences.
     std::unordered_map<std::uint64_t, std::vector<Token>> pendingCancels; ///< Requests that wait for a cancellation's record, by number of the job.
     std::map<std::uint64_t, std::vector<Token>> pendingPlans; ///< Requests that wait for a plan's record, by version.
     std::map<std::uint64_t, std::vector<Token>> pendingWaves; ///< Requests that wait for a wave's record, by number.
@@ -412,6 +419,8 @@
 void removeWaitingSteps(Leader &leader, std::uint64_t job);
 void applyPlanToWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 void enqueueDueSteps(Leader &leader, const job::State &state, const Now &now);
+bool hasRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes);
+void closePlacedOccurrences(Leader &leader, const wire::RunsPlacedT &record);
 void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan);
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output);
 void expireUnusedAdvice(Leader &leader, const Now &now);
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -1,4 +1,5 @@
 #include "deployment/leader.h"
+#include "job/footprint.h"
 
 #include <algorithm>
 #include <utility>
@@ -62,10 +63,10 @@
         answer(token, {}, output); // A repeated submission.
         return;
     }
-    std::vector<Token> &waiting = leader.pendingSubmits[id];
-    waiting.push_back(token);
-    if (waiting.size() > 1) {
-        return; // Its record is already proposed.
+    const auto proposed = leader.pendingSubmits.find(id);
+    if (proposed != leader.pendingSubmits.end()) {
+        proposed->second.push_back(token);
+        return;
     }
     wire::JobAcceptedT record;
     record.atMs = now.wallMs;
@@ -73,6 +74,19 @@
     record.spec->id = id;
     record.spec->host = queue->host;
     record.spec->prefix = queue->prefix;
+    const std::uint64_t neededBytes = job::acceptedBytes(*record.spec);
+    if (!internal::hasRoomFor(leader, state, neededBytes)) {
+        ++leader.counters.jobsWithoutRoom;
+        output.decisions.push_back({"job-refused",
+                                    id,
+                                    "needed=" + std::to_string(neededBytes) + " held=" + std::to_string(state.heldBytes)
+                                        + " proposed=" + std::to_string(leader.proposedBytes) + " open=" + std::to_string(leader.openBytes)
+                                        + " max=" + std::to_string(leader.options.maxHeldBytes)});
+        refuse(token, model::Reason::StateFull, output);
+        return;
+    }
+    leader.proposedBytes += neededBytes;
+    leader.pendingSubmits[id].push_back(token);
     internal::prefetchAdvice(leader, *record.spec, *queue, now, output); // The reply arrives while the record is committed.
     output.proposals.push_back(wire::encodeChange(std::move(record)));
 }
--- a/Source/deployment/leaderwaiting.cpp
+++ b/Source/deployment/leaderwaiting.cpp
@@ -1,4 +1,5 @@
 #include "deployment/placing.h"
+#include "job/footprint.h"
 
 #include <algorithm>
 #include <cmath>
@@ -89,6 +90,43 @@
     }
 }
 
+bool hasRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes)
+{
+    return state.heldBytes + leader.proposedBytes + leader.openBytes + bytes <= leader.options.maxHeldBytes;
+}
+
+namespace
+{
+/** Reserves memory for an occurrence whose steps are enqueued. The first one of a job is part of what the job holds. @return false if there is no room. */
+bool openOccurrence(Leader &leader, const job::State &state, const job::Job &job, std::uint32_t number)
+{
+    const bool reserved = job.occurrences.empty() ? number == job.firstOpen : job.occurrences.count(number) > 0;
+    if (reserved || leader.openOccurrences.count({job.number, number}) > 0) {
+        return true;
+    }
+    const std::uint64_t bytes = job::occurrenceBytes(job.spec);
+    if (!hasRoomFor(leader, state, bytes)) {
+        ++leader.counters.occurrencesWithoutRoom;
+        return false;
+    }
+    leader.openOccurrences[{job.number, number}] = bytes;
+    leader.openBytes += bytes;
+    return true;
+}
+}
+
+/** Ends the reservations for occurrences that are part of the state from now on. */
+void closePlacedOccurrences(Leader &leader, const wire::RunsPlacedT &record)
+{
+    for (const wire::RunPlaced &placed : record.runs) {
+        const auto entry = leader.openOccurrences.find({placed.job(), placed.occurrence()});
+        if (entry != leader.openOccurrences.end()) {
+            leader.openBytes -= entry->second;
+            leader.openOccurrences.erase(entry);
+        }
+    }
+}
+
 void enqueueReadySteps(Leader &leader, const job::State &state, const job::Job &job, const Now &now)
 {
     if (job::hasEnded(job.phase)) {
@@ -96,7 +134,7 @@
     }
     const std::uint32_t end = endOfOpenOccurrences(job);
     for (std::uint32_t occurrence = job.firstOpen; occurrence < end; ++occurrence) {
-        if (dueTimeMs(job, occurrence) > now.wallMs + dueAheadMs) {
+        if (dueTimeMs(job, occurrence) > now.wallMs + dueAheadMs || !openOccurrence(leader, state, job, occurrence)) {
             break;
         }
         for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
@@ -140,6 +178,11 @@
     while (entry != leader.waiting.end() && entry->first.job == job) {
         entry = leader.waiting.erase(entry);
     }
+    auto open = leader.openOccurrences.lower_bound({job, 0});
+    while (open != leader.openOccurrences.end() && open->first.first == job) {
+        leader.openBytes -= open->second;
+        open = leader.openOccurrences.erase(open);
+    }
 }
 
 /** Ranks the waiting steps by the plan now in force, and stops the jobs that failed with it; a task of each of these waits. */
--- a/Source/job/jobimage.cpp
+++ b/Source/job/jobimage.cpp
@@ -1,3 +1,4 @@
+#include "job/footprint.h"
 #include "job/jobs.h"
 
 #include <map>
@@ -83,8 +84,10 @@
 }
 
 /** @return whether the numbers of steps and tasks are those of the specification. */
-bool readOccurrence(const wire::OccurrenceState &image, const wire::JobSpecT &spec, Occurrence &occurrence)
+bool readOccurrence(const wire::OccurrenceState &image, Job &job)
 {
+    const wire::JobSpecT &spec = job.spec;
+    Occurrence &occurrence = job.occurrences[image.number()];
     const auto *steps = image.steps();
     if ((steps == nullptr ? 0 : steps->size()) != spec.steps.size()) {
         return false;
@@ -108,6 +111,7 @@
             if (task.checkpoint() != nullptr && task.checkpoint()->size() > 0) {
                 runs.checkpoints.resize(count);
                 runs.checkpoints[index] = task.checkpoint()->str();
+                job.checkpointBytes += textBytes(runs.checkpoints[index].size());
             }
         }
     }
@@ -126,7 +130,7 @@
     job.endedAtMs = image.endedAtMs();
     if (image.occurrences() != nullptr) {
         for (const wire::OccurrenceState *occurrence : *image.occurrences()) {
-            if (!readOccurrence(*occurrence, job.spec, job.occurrences[occurrence->number()])) {
+            if (!readOccurrence(*occurrence, job)) {
                 return false;
             }
         }
@@ -209,7 +213,7 @@
                 return std::nullopt;
             }
             state.jobNumberById[job.spec.id] = job.number;
-            state.jobs.emplace(job.number, std::move(job));
+            updateHeldBytes(state, state.jobs.emplace(job.number, std::move(job)).first->second);
         }
     }
     if (image->upstreams() != nullptr) {
--- a/Source/job/jobs.cpp
+++ b/Source/job/jobs.cpp
@@ -1,5 +1,7 @@
 #include "job/jobs.h"
 
+#include "job/footprint.h"
+
 #include <algorithm>
 #include <memory>
 
@@ -7,29 +9,30 @@
 {
 namespace
 {
-Occurrence &findOrCreateOccurrence(Job &job, std::uint32_t number)
+Occurrence &findOrCreateOccurrence(State &state, Job &job, std::uint32_t number)
 {
     Occurrence &occurrence = job.occurrences[number];
     if (occurrence.steps.empty()) {
         for (const auto &step : job.spec.steps) {
             occurrence.steps.emplace_back().unmetCount = step->after.size();
         }
+        updateHeldBytes(state, job);
     }
     return occurrence;
 }
 
-Task *findOrCreateTask(Job &job, std::uint32_t occurrence, std::uint32_t step, std::uint32_t index)
+Task *findOrCreateTask(State &state, Job &job, std::uint32_t occurrence, std::uint32_t step, std::uint32_t index)
 {
     if (step >= job.spec.steps.size() || index >= job.spec.steps[step]->count || occurrence >= occurrenceCount(job)) {
         return nullptr;
     }
-    std::vector<Task> &tasks = findOrCreateOccurrence(job, occurrence).steps[step].tasks;
+    std::vector<Task> &tasks = findOrCreateOccurrence(state, job, occurrence).steps[step].tasks;
     tasks.resize(job.spec.steps[step]->count);
     return &tasks[index];
 }
 
 /** Discards the run state of an ended job once none of its runs is active. The id and the phase stay, as callers query them long after. */
-void discardRunState(Job &job)
+void discardRunState(State &state, Job &job)
 {
     if (!hasEnded(job.phase)) {
         return;
@@ -45,6 +48,8 @@
     job.order = {};
     job.spec.steps.clear();
     job.spec.payload = std::string();
+    job.checkpointBytes = 0;
+    updateHeldBytes(state, job);
 }
 
 void endJob(Job &job, Phase phase, std::uint64_t atMs)
@@ -94,7 +99,7 @@
     job.spec = *record.spec;
     job.order = orderOf(job.spec);
     state.jobNumberById[job.spec.id] = job.number;
-    state.jobs.emplace(job.number, std::move(job));
+    updateHeldBytes(state, state.jobs.emplace(job.number, std::move(job)).first->second);
 }
 
 void applyPlaced(State &state, const wire::RunsPlacedT &record)
@@ -104,7 +109,7 @@
         if (found == state.jobs.end()) {
             continue;
         }
-        Task *task = findOrCreateTask(found->second, placed.occurrence(), placed.step(), placed.index());
+        Task *task = findOrCreateTask(state, found->second, placed.occurrence(), placed.step(), placed.index());
         if (task == nullptr || task->done || placed.run() <= task->run) {
             continue;
         }
@@ -127,16 +132,22 @@
     }
 }
 
-void storeCheckpoint(StepRuns &runs, const wire::StepSpecT &spec, std::uint32_t index, const std::string &checkpoint)
+void storeCheckpoint(State &state, Job &job, StepRuns &runs, const wire::RunEndedT &end)
 {
-    if (checkpoint.empty()) {
+    if (end.checkpoint.empty()) {
         return;
     }
-    if (!spec.gang) {
-        setCheckpoint(runs, index, checkpoint);
-        return;
+    if (job.spec.steps[end.step]->gang) {
+        // A checkpoint applies to the whole gang, and all members must have the same one.
+        job.checkpointBytes -= textBytes(checkpointOf(runs, 0).size()) * runs.checkpoints.size();
+        runs.checkpoints.assign(runs.tasks.size(), end.checkpoint);
+        job.checkpointBytes += textBytes(end.checkpoint.size()) * runs.checkpoints.size();
+    } else {
+        job.checkpointBytes -= textBytes(checkpointOf(runs, end.index).size());
+        setCheckpoint(runs, end.index, end.checkpoint);
+        job.checkpointBytes += textBytes(end.checkpoint.size());
     }
-    runs.checkpoints.assign(runs.tasks.size(), checkpoint); // A checkpoint applies to the whole gang, and all members must have the same one.
+    updateHeldBytes(state, job);
 }
 
 void countFailure(StepRuns &runs, const wire::StepSpecT &spec, Task &task, std::uint32_t run)
@@ -190,7 +201,7 @@
     for (auto &[number, job] : state.jobs) {
         if (!hasEnded(job.phase) && hasUsedUpAttempts(state, job)) {
             endJob(job, Phase::Failed, job.acceptedAtMs);
-            discardRunState(job);
+            discardRunState(state, job);
         }
     }
 }
@@ -212,7 +223,7 @@
         return;
     }
     Job &job = found->second;
-    Task *task = findOrCreateTask(job, end.occurrence, end.step, end.index);
+    Task *task = findOrCreateTask(state, job, end.occurrence, end.step, end.index);
     if (task == nullptr || end.run == 0) {
         return;
     }
@@ -225,7 +236,7 @@
     runs.activeCount -= task->activeRun == 0 ? 0 : 1;
     task->activeRun = 0;
     task->upstream = 0;
-    storeCheckpoint(runs, spec, end.index, end.checkpoint);
+    storeCheckpoint(state, job, runs, end);
     if (end.end == wire::RunEnd::Done && !spec.longRunning) {
         const bool wasDone = isStepDone(job, end.occurrence, end.step);
         applyDone(runs, spec, *task);
@@ -253,7 +264,7 @@
         return;
     }
     Job &job = found->second;
-    Task *task = findOrCreateTask(job, run.occurrence(), run.step(), run.index());
+    Task *task = findOrCreateTask(state, job, run.occurrence(), run.step(), run.index());
     if (task == nullptr || task->done || run.run() <= task->crashedRun || run.run() > task->run) {
         return;
     }
@@ -262,7 +273,7 @@
     task->confirmedCrashes += confirmed ? 1 : 0;
     if (task->confirmedCrashes >= record.maxCrashes || task->crashes >= record.maxPossibleCrashes) {
         endJob(job, Phase::Failed, record.atMs);
-        discardRunState(job);
+        discardRunState(state, job);
     }
 }
 
@@ -281,6 +292,7 @@
     for (const std::uint64_t number : record.jobs) {
         const auto found = state.jobs.find(number);
         if (found != state.jobs.end()) {
+            state.heldBytes -= found->second.heldBytes;
             state.jobNumberById.erase(found->second.spec.id);
             state.jobs.erase(found);
         }
@@ -326,7 +338,7 @@
         for (const auto &end : ended->ends) {
             const auto job = state.jobs.find(end->job);
             if (job != state.jobs.end()) {
-                discardRunState(job->second);
+                discardRunState(state, job->second);
             }
         }
     } else if (const auto *crashed = record.change.AsRunsCrashed()) {
@@ -335,7 +347,7 @@
         const auto found = state.jobs.find(cancelled->job);
         if (found != state.jobs.end()) {
             endJob(found->second, Phase::Cancelled, cancelled->atMs);
-            discardRunState(found->second);
+            discardRunState(state, found->second);
         }
     } else if (const auto *forgotten = record.change.AsJobsForgotten()) {
         applyForgotten(state, *forgotten);
@@ -404,6 +416,14 @@
     return order;
 }
 
+void updateHeldBytes(State &state, Job &job)
+{
+    const std::uint64_t occurrences = job.spec.steps.empty() ? 0 : std::max<std::size_t>(job.occurrences.size(), 1);
+    state.heldBytes -= job.heldBytes;
+    job.heldBytes = specBytes(job.spec) + occurrences * occurrenceBytes(job.spec) + job.checkpointBytes;
+    state.heldBytes += job.heldBytes;
+}
+
 void recountSteps(Job &job)
 {
     for (auto &[number, occurrence] : job.occurrences) {
--- a/Source/job/jobs.h
+++ b/Source/job/jobs.h
@@ -79,6 +79,8 @@
     std::map<std::uint32_t, Occurrence> occurrences; ///< The occurrences with at least one task placed so far.
     std::uint64_t doneSteps = 0; ///< Number of steps that are done, over all occurrences.
     std::uint32_t firstOpen = 0; ///< First occurrence with a step that isn't done.
+    std::uint64_t checkpointBytes = 0; ///< Memory for the texts of its checkpoints.
+    std::uint64_t heldBytes = 0; ///< Memory for the job, as job/footprint.h estimates it; part of State::heldBytes.
 };
 
 /** Identifies a task. */
@@ -109,6 +111,7 @@
     std::map<std::uint32_t, wire::UpstreamSeenT> upstreams;
     wire::PlanAcceptedT plan; ///< Version 0 before the first plan.
     std::map<std::uint64_t, Wave> waves;
+    std::uint64_t heldBytes = 0; ///< Memory for all jobs, as job/footprint.h estimates it.
 };
 
 /** Applies a record. @param state the state to change. @param record a committed record; record types of other logs are ignored. */
@@ -126,6 +129,9 @@
 /** @param spec a job's specification. @return the order of its steps; takes time in proportion to the length of the `after` lists. */
 StepOrder orderOf(const wire::JobSpecT &spec);
 
+/** Updates the estimate of the memory for a job and for the state. @param state the state. @param job one of its jobs, after a change of its size. */
+void updateHeldBytes(State &state, Job &job);
+
 /** Sets the counts of steps that are derived from the tasks. @param job a job whose occurrences were restored. */
 void recountSteps(Job &job);
 
--- a/Source/model/reason.cpp
+++ b/Source/model/reason.cpp
@@ -71,6 +71,7 @@
     ReasonInfo{Reason::UnknownQueue, "unknown-queue", 404, Changed, "the plan in force lists no queue for this host and path"},
     ReasonInfo{Reason::UnknownJob, "unknown-job", 410, Never, "no such job was accepted, or it ended longer ago than jobs are kept"},
     ReasonInfo{Reason::NotAdviser, "not-adviser", 503, Later, "this host can't reach the advice service"},
+    ReasonInfo{Reason::StateFull, "state-full", 503, Later, "the control hosts have no memory for this job beside those that they hold; nothing was stored"},
 };
 
 class ReasonCategory final : public std::error_category
--- a/Source/model/reason.h
+++ b/Source/model/reason.h
@@ -66,6 +66,7 @@
     UnknownQueue,
     UnknownJob,
     NotAdviser,
+    StateFull,
 };
 
 /** What the caller of a refused request may do. */
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -542,3 +542,94 @@
         CHECK_EQUAL(std::size_t{withShort ? 4U : 6U}, used.size());
     }
 }
+
+namespace
+{
+/** Submits a job as a caller does. @param test the leader. @param id of the job. @param spec the job. @return the reason of the refusal; None once accepted or
+ * while its record isn't committed. */
+model::Reason submitAsCaller(LeaderTest &test, const std::string &id, wire::JobSpecT spec)
+{
+    wire::RequestT request;
+    request.operation = wire::Operation::SubmitJob;
+    request.service = "q";
+    request.path = "/0/" + id;
+    request.job = std::make_unique<wire::JobSpecT>(std::move(spec));
+    LeaderOutput output;
+    handleRequest(test.leader, test.state, 1, std::move(request), test.now, output);
+    const model::Reason reason = output.replies.empty() ? model::Reason::None : static_cast<model::Reason>(output.replies.front().reply.error);
+    collect(test, std::move(output));
+    return reason;
+}
+
+wire::JobSpecT jobOf(std::uint32_t tasks)
+{
+    wire::JobSpecT spec;
+    spec.steps.push_back(std::make_unique<wire::StepSpecT>(makeStep(tasks, 10, 1000)));
+    return spec;
+}
+}
+
+/** Jobs were accepted until the memory of each control host was used up. */
+TEST_CASE(Leader, AJobWithoutRoomIsRefusedAtOnce)
+{
+    LeaderTest test = makeLeader({"u1"});
+    putPlan(test, true);
+    test.leader.options.maxHeldBytes = 4U << 20U;
+    int accepted = 0;
+    while (submitAsCaller(test, "j" + std::to_string(accepted), jobOf(20000)) == model::Reason::None) {
+        ++accepted;
+    }
+    CHECK_EQUAL(3, accepted);
+    CHECK(test.state.heldBytes <= test.leader.options.maxHeldBytes);
+    CHECK(submitAsCaller(test, "more", jobOf(20000)) == model::Reason::StateFull);
+    CHECK_EQUAL(std::uint64_t{2}, test.leader.counters.jobsWithoutRoom);
+    CHECK(submitAsCaller(test, "small", jobOf(10)) == model::Reason::None);
+    CHECK(submitAsCaller(test, "j0", jobOf(20000)) == model::Reason::None); // Known: a repeated submission is no new job.
+    wire::JobCancelledT cancelled;
+    cancelled.job = test.state.jobNumberById.at("j0");
+    LeaderOutput output;
+    output.proposals = {wire::encodeChange(cancelled)};
+    collect(test, std::move(output));
+    CHECK(submitAsCaller(test, "more", jobOf(20000)) == model::Reason::None);
+}
+
+/** Jobs whose records aren't committed yet take memory, too. */
+TEST_CASE(Leader, JobsThatAreProposedCountForTheRoom)
+{
+    LeaderTest test = makeLeader({"u1"});
+    putPlan(test, true);
+    test.leader.options.maxHeldBytes = 4U << 20U;
+    test.commits = false;
+    for (int i = 0; i < 3; ++i) {
+        CHECK(submitAsCaller(test, "j" + std::to_string(i), jobOf(20000)) == model::Reason::None);
+    }
+    CHECK(submitAsCaller(test, "more", jobOf(20000)) == model::Reason::StateFull);
+    CHECK(submitAsCaller(test, "j1", jobOf(20000)) == model::Reason::None); // Waits for the same record.
+    test.commits = true;
+    commit(test);
+    CHECK_EQUAL(std::uint64_t{0}, test.leader.proposedBytes);
+    CHECK(submitAsCaller(test, "more", jobOf(20000)) == model::Reason::StateFull);
+}
+
+/** 10,000 due occurrences of 20,000 tasks were opened at once: a job of 200 bytes took 820 MB. */
+TEST_CASE(Leader, OccurrencesWithoutRoomWait)
+{
+    LeaderTest test = makeLeader({"u1"});
+    putPlan(test, true);
+    test.leader.options.maxHeldBytes = 16U << 20U;
+    wire::JobSpecT timed = jobOf(20000);
+    timed.repeatCount = 10000;
+    timed.startAtMs = test.now.wallMs - 1000;
+    CHECK(submitAsCaller(test, "timed", std::move(timed)) == model::Reason::None);
+    pass(test, 2000);
+    CHECK(test.leader.waiting.size() > 1);
+    CHECK(test.state.heldBytes + test.leader.openBytes <= test.leader.options.maxHeldBytes);
+    CHECK(test.leader.counters.occurrencesWithoutRoom > 0);
+    wire::JobCancelledT cancelled;
+    cancelled.job = test.state.jobNumberById.at("timed");
+    LeaderOutput output;
+    output.proposals = {wire::encodeChange(cancelled)};
+    collect(test, std::move(output));
+    CHECK_EQUAL(std::uint64_t{0}, test.leader.openBytes);
+    CHECK(test.leader.openOccurrences.empty());
+}
--- a/Tests/job/images.cpp
+++ b/Tests/job/images.cpp
@@ -32,7 +32,9 @@
     }
     runs.activeCount = tasks;
     state.jobNumberById[job.spec.id] = job.number;
-    return state.jobs.emplace(job.number, std::move(job)).first->second.occurrences[0].steps[0];
+    job::Job &added = state.jobs.emplace(job.number, std::move(job)).first->second;
+    job::updateHeldBytes(state, added);
+    return added.occurrences[0].steps[0];
 }
 
 /** @return the image as a host reads it that gets it from its own journal. */
@@ -82,6 +84,7 @@
         CHECK((job::encodeImage(*copy) == image));
         CHECK_EQUAL(state.jobs.size(), copy->jobs.size());
         CHECK_EQUAL(state.nextJob, copy->nextJob);
+        CHECK(copy->heldBytes >= state.heldBytes); // Checkpoints that a test sets by hand aren't counted in the original.
         for (const auto &[number, job] : state.jobs) {
             const job::Job &other = copy->jobs.at(number);
             CHECK_TEXT(job.spec.id, other.spec.id);
--- a/Tests/job/jobs.cpp
+++ b/Tests/job/jobs.cpp
@@ -1,4 +1,5 @@
 #include "job/jobs.h"
+#include "job/footprint.h"
 #include "testing.h"
 
 namespace
@@ -307,3 +308,37 @@
     }
     CHECK_EQUAL(std::uint64_t{9}, state.plan.version);
 }
+
+/** The memory that jobs take was neither known nor bounded. Each change of a job changes the estimate, which is the same after a restart. */
+TEST_CASE(Jobs, TheMemoryOfJobsIsCounted)
+{
+    const auto restored = [](const job::State &state) {
+        return job::decodeImage(job::encodeImage(state)).value().heldBytes;
+    };
+    wire::StepSpecT saving = makeStep(1000);
+    saving.checkpointing = true;
+    job::State state = stateWithJob({makeStep(20000), saving});
+    const std::uint64_t accepted = state.heldBytes;
+    CHECK_EQUAL(job::acceptedBytes(*wire::decode<wire::DeploymentImageT>(job::encodeImage(state))->jobs[0]->accepted->spec), accepted);
+    CHECK(accepted > 20000 * sizeof(job::Task));
+    place(state, 0, 0, 1);
+    CHECK_EQUAL(accepted, state.heldBytes); // The first occurrence is counted from the acceptance on.
+    CHECK_EQUAL(accepted, restored(state));
+    place(state, 1, 5, 1);
+    end(state, 1, 5, 1, wire::RunEnd::Stopped, std::string(5000, 'c'));
+    CHECK(state.heldBytes >= accepted + 5000);
+    CHECK_EQUAL(state.heldBytes, restored(state));
+    place(state, 1, 5, 2);
+    end(state, 1, 5, 2, wire::RunEnd::Stopped, "c");
+    CHECK(state.heldBytes < accepted + 5000);
+    wire::JobCancelledT cancelled;
+    cancelled.job = 1;
+    applyChange(state, cancelled);
+    end(state, 0, 0, 1, wire::RunEnd::Stopped);
+    CHECK(state.heldBytes < 5000); // An ended job holds its id only.
+    CHECK_EQUAL(state.heldBytes, restored(state));
+    wire::JobsForgottenT forgotten;
+    forgotten.jobs = {1};
+    applyChange(state, std::move(forgotten));
+    CHECK_EQUAL(std::uint64_t{0}, state.heldBytes);
+}
