--- a/Source/daemon/deploymentdaemon.cpp
+++ b/Source/daemon/deploymentdaemon.cpp
@@ -129,7 +129,7 @@
 std::uint64_t maxHeldBytes(std::uint64_t memoryMb)
 {
     constexpr std::uint64_t processMb = 96; // The program, its connections and the log between two snapshots; docs/CAPACITY.md.
-    constexpr std::uint64_t bytesPerMb = 1024U * 1024U;
+    constexpr std::uint64_t bytesPerMb = std::uint64_t{1} << 20U;
     return std::max(memoryMb - std::min(memoryMb, processMb), memoryMb / 4) * bytesPerMb;
 }
 
--- a/Source/wire/frame.cpp
+++ b/Source/wire/frame.cpp
@@ -12,7 +12,7 @@
 /** Initial size of the buffer for a frame. */
 constexpr std::size_t initialBytes = 1024;
 /** Capacity above which the buffer of a stream is released once it is empty. */
-constexpr std::size_t maxIdleBytes = 1024U * 1024U;
+constexpr std::size_t maxIdleBytes = std::size_t{1} << 20U;
 
 /** @return the size of the image that a frame contains; 0 for most frames. */
 std::size_t snapshotBytes(const PeerFrameT &frame)
--- a/Source/wire/frame.h
+++ b/Source/wire/frame.h
@@ -25,7 +25,7 @@
 /** @param imageBytes size of a snapshot's image. @return whether a frame can hold it with its membership and headers. */
 constexpr bool fitsFrame(std::size_t imageBytes)
 {
-    constexpr std::size_t overheadBytes = 1024U * 1024U;
+    constexpr std::size_t overheadBytes = std::size_t{1} << 20U;
     return imageBytes <= maxFrameBytes - overheadBytes;
 }
 
--- a/Tests/deployment/snapshots.cpp
+++ b/Tests/deployment/snapshots.cpp
@@ -133,9 +133,10 @@
             request.operation = wire::Operation::PlanPut;
             request.waitMs = 1000;
             request.plan = std::make_unique<wire::PlanAcceptedT>();
-            request.plan->version = host.state.plan.version + 1;
+            const std::uint64_t version = host.state.plan.version + 1;
+            request.plan->version = version;
             step([&](deployment::HostOutput &output) {
-                deployment::handleLocalRequest(host, 100 + request.plan->version, std::move(request), now, output);
+                deployment::handleLocalRequest(host, 100 + version, std::move(request), now, output);
             });
         }
     };
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -494,6 +494,15 @@
     return call.ticket.starts_with(ofProcess) && nowMs <= std::stoull(call.ticket.substr(ofProcess.size())) + ticketMs;
 }
 
+/** Checks that a start carries a ticket for its own step. @return whether the upstream accepts the ticket. */
+bool Fleet::checkTicket(const FakeUpstream &upstream, const deployment::UpstreamCall &call)
+{
+    if (!call.ticket.starts_with(stepNameOf(call.job, call.task) + "@")) {
+        violations.push_back("FOREIGN TICKET " + nameOf(call.job, call.task) + " ticket " + call.ticket);
+    }
+    return acceptsTicket(upstream, call);
+}
+
 void Fleet::answerAdvice(FakeHost &self, const deployment::LocalAdviceRequest &request)
 {
     constexpr std::uint64_t decisionMs = 50;
@@ -755,10 +764,7 @@
         return reply;
     }
     const wire::StepSpecT &step = *job->second.steps[call.task.step];
-    if (m_advised && !call.ticket.starts_with(stepNameOf(call.job, call.task) + "@")) {
-        violations.push_back("FOREIGN TICKET " + name + " ticket " + call.ticket);
-    }
-    if (m_advised && !acceptsTicket(upstream, call)) {
+    if (m_advised && !checkTicket(upstream, call)) {
         reply.status = deployment::CallStatus::BadTicket;
         return reply;
     }
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -288,6 +288,7 @@
     void waitForEnd(FakeUpstream &upstream, const deployment::UpstreamCall &call, const std::optional<deployment::UpstreamReply> &answer,
                     const std::function<void(const deployment::UpstreamReply &)> &reply);
     std::string ticketFor(const std::string &step, const std::string &upstream) const;
+    bool checkTicket(const FakeUpstream &upstream, const deployment::UpstreamCall &call);
     bool acceptsTicket(const FakeUpstream &upstream, const deployment::UpstreamCall &call) const;
     bool hasRoomFor(const FakeUpstream &upstream, const wire::StepSpecT &step) const;
     void endGang(const FakeRun &run, wire::RunEnd end);
