deployment: Authorize callers by the keys of the plan

Every caller could submit, query and cancel every job: the deployment scope had no notion of a caller.

The leader now authorizes submission, query, cancellation and queue length under its leader lease, from the replicated plan, before it looks at the job or the body: 401 without a key of the plan unless the queue is public, 403 with the key of a team other than the job's. Each rejection has a reason, a counter and a decision line without key or digest. A plan that doesn't require keys is served as before.

Found while checking for ways around: job ids are unique across queues, so that a public queue's path could name a job of any other queue; the job's own queue decides now. A submission that waits for the record of another team's proposed job with the same id would have been acknowledged. And the repetition of a change whose first attempt may have been carried out is answered 504, not 401, if its key was removed in between.

Ruled out: a copy of the plan on entry hosts, which could be outdated while a host is cut off (docs/design/keys.md).

--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -39,6 +39,9 @@
     appendMetric(text, "jobs_accepted_total", counters.accepted);
     appendMetric(text, "jobs_cancelled_total", counters.jobsCancelled);
     appendMetric(text, "jobs_failed_by_plan_total", counters.jobsFailedByPlan);
+    appendMetric(text, "calls_without_key_total", counters.callsWithoutKey);
+    appendMetric(text, "calls_with_unknown_key_total", counters.callsWithUnknownKey);
+    appendMetric(text, "calls_for_other_team_total", counters.callsForOtherTeam);
     appendMetric(text, "starts_total", counters.starts);
     appendMetric(text, "starts_unanswered_total", counters.startsUnanswered);
     appendMetric(text, "starts_rejected_total", counters.startsRejected);
--- a/Source/deployment/host.cpp
+++ b/Source/deployment/host.cpp
@@ -362,6 +362,7 @@
                 routed->second.maybeApplied = true;
                 routed->second.retryAtMs = now.monotonicMs + host.options.retryDelayMs;
             } else if (routed != host.routed.end()) {
+                reportPossibleEffect(routed->second, reply.reply);
                 host.routed.erase(routed);
                 output.replies.push_back(std::move(reply));
             }
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -251,6 +251,7 @@
 void applyNodeOutput(Host &host, consensus::Output step, const Now &now, HostOutput &output);
 void applyLeaderOutput(Host &host, LeaderOutput step, const Now &now, HostOutput &output);
 void routeRequest(Host &host, Token token, const Now &now, HostOutput &output);
+void reportPossibleEffect(const RoutedRequest &routed, wire::ReplyT &reply);
 void refreshDialTargets(Host &host, HostOutput &output);
 void repairMembership(Host &host, const Now &now, HostOutput &output);
 void refreshAdvisers(Host &host);
--- a/Source/deployment/hostrouting.cpp
+++ b/Source/deployment/hostrouting.cpp
@@ -33,13 +33,17 @@
     return reply;
 }
 
+bool changesJobs(const wire::RequestT &request)
+{
+    return request.operation == wire::Operation::SubmitJob || request.operation == wire::Operation::JobCancel;
+}
+
 void failRequest(Host &host, Token token, HostOutput &output)
 {
     const RoutedRequest &routed = host.routed.at(token);
     // A change that may have been applied is reported as unanswered rather than refused: its sender repeats it with the same id.
-    const bool changes = routed.request.operation == wire::Operation::SubmitJob || routed.request.operation == wire::Operation::JobCancel;
     wire::ReplyT reply;
-    reply.error = static_cast<std::uint16_t>(routed.maybeApplied && changes ? model::Reason::HomeSilent : model::Reason::NoLeader);
+    reply.error = static_cast<std::uint16_t>(routed.maybeApplied && changesJobs(routed.request) ? model::Reason::HomeSilent : model::Reason::NoLeader);
     output.decisions.push_back({"given-up",
                                 std::to_string(token),
                                 "operation=" + std::to_string(static_cast<int>(routed.request.operation)) + " path=" + routed.request.path
@@ -140,6 +144,7 @@
         }
         return;
     }
+    internal::reportPossibleEffect(routed, reply);
     host.routed.erase(token);
     output.replies.push_back({token, std::move(reply)});
 }
@@ -207,6 +212,17 @@
     output.calls.push_back({leader, routed.call, routed.request});
 }
 
+/** Replaces a rejection for lack of a valid key if an earlier attempt of the request may have been carried out: its key may have been removed since, and the
+ * rejection would state that nothing was done. */
+void reportPossibleEffect(const RoutedRequest &routed, wire::ReplyT &reply)
+{
+    const auto reason = static_cast<model::Reason>(reply.error);
+    const bool unauthorized = reason == model::Reason::CredentialMissing || reason == model::Reason::CredentialUnknown;
+    if (unauthorized && routed.maybeApplied && changesJobs(routed.request)) {
+        reply.error = static_cast<std::uint16_t>(model::Reason::HomeSilent);
+    }
+}
+
 void refreshDialTargets(Host &host, HostOutput &output)
 {
     std::set<std::string> targets = host.controlHosts;
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -60,6 +60,16 @@
            });
 }
 
+std::vector<Token> &tokensOf(std::vector<Token> &tokens)
+{
+    return tokens;
+}
+
+std::vector<Token> &tokensOf(PendingSubmit &submit)
+{
+    return submit.tokens;
+}
+
 void answerAll(std::vector<Token> &tokens, const wire::ReplyT &reply, LeaderOutput &output)
 {
     for (const Token token : tokens) {
@@ -73,7 +83,7 @@
 {
     const auto found = waiting.find(key);
     if (found != waiting.end()) {
-        answerAll(found->second, reply, output);
+        answerAll(tokensOf(found->second), reply, output);
         waiting.erase(found);
     }
 }
@@ -81,8 +91,8 @@
 template<typename Map>
 void refuseWaiting(Map &waiting, LeaderOutput &output)
 {
-    for (auto &[key, tokens] : waiting) {
-        for (const Token token : tokens) {
+    for (auto &[key, entry] : waiting) {
+        for (const Token token : tokensOf(entry)) {
             internal::refuse(token, model::Reason::LeadershipLost, output);
         }
     }
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "deployment/authorization.h"
 #include "job/jobs.h"
 #include "model/reason.h"
 #include "policy/waitingorder.h"
@@ -251,6 +252,13 @@
     std::uint64_t fence = 0; ///< Fence of a poll.
 };
 
+/** A submission whose record is proposed. */
+struct PendingSubmit
+{
+    JobOrigin origin;
+    std::vector<Token> tokens; ///< Requests that wait for the record.
+};
+
 /** Upper bounds of the buckets of a latency histogram in milliseconds, from one round trip within a region to ten seconds. */
 constexpr std::array<std::uint64_t, 9> latencyBoundsMs{10, 30, 70, 150, 300, 700, 1500, 4000, 10000};
 
@@ -291,6 +299,9 @@
     std::uint64_t jobsGivenUp = 0; ///< Jobs that failed since too many upstreams crashed under one of their tasks.
     std::uint64_t jobsFailedByPlan = 0; ///< Jobs that failed with a plan, as a task had failed as often as the plan allows.
     std::uint64_t jobsWithoutRoom = 0; ///< Refusals of jobs that the state has no room for.
+    std::uint64_t callsWithoutKey = 0; ///< Calls rejected for lack of a key.
+    std::uint64_t callsWithUnknownKey = 0; ///< Calls rejected as the plan doesn't contain their key.
+    std::uint64_t callsForOtherTeam = 0; ///< Calls rejected as their job belongs to another team.
     std::uint64_t occurrencesWithoutRoom = 0; ///< Occurrences of timed jobs that were due and had to wait for room.
     std::uint64_t badHeartbeats = 0; ///< Heartbeats that describe no upstream to use.
     std::uint64_t jobsCompleted = 0;
@@ -320,7 +331,7 @@
     std::unordered_map<std::string, Advice> advice; ///< By step name; also for steps whose job isn't committed yet.
     std::vector<Adviser> advisers;
     bool hasShortRequests = false; ///< Whether the plan has a queue whose requests to the advice service are short.
-    std::unordered_map<std::string, std::vector<Token>> pendingSubmits; ///< Requests that wait for a job's record, by id of the job.
+    std::unordered_map<std::string, PendingSubmit> pendingSubmits; ///< By id of the job.
     std::uint64_t proposedBytes = 0; ///< Memory for the jobs in pendingSubmits, whose records aren't committed.
     /** Memory for the occurrences that wait without a place in the state, by job and number. */
     std::map<std::pair<std::uint64_t, std::uint32_t>, std::uint64_t> openOccurrences;
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -32,8 +32,35 @@
     answer(token, std::move(reply), output);
 }
 
-/** Finds the queue of a request. @param rest receives the path without the queue's prefix. @return the queue; null if the request was refused. */
-const wire::QueueSpecT *queueFor(const job::State &state, Token token, const wire::RequestT &request, std::string &rest, LeaderOutput &output)
+/** What a request names. */
+struct Target
+{
+    std::string rest; ///< The path without the queue's prefix: the id of a job, or empty.
+    std::string team; ///< The caller's team; empty for none.
+};
+
+JobOrigin originOf(const wire::JobSpecT &spec)
+{
+    return {spec.host, spec.prefix, spec.team};
+}
+
+/** Rejects a call that isn't authorized. @param teams the caller's team and that of the job. */
+void refuseCaller(Leader &leader, Token token, const wire::RequestT &request, model::Reason reason, const std::string &teams, LeaderOutput &output)
+{
+    LeaderCounters &counters = leader.counters;
+    ++(reason == model::Reason::CredentialMissing       ? counters.callsWithoutKey
+           : reason == model::Reason::CredentialUnknown ? counters.callsWithUnknownKey
+                                                        : counters.callsForOtherTeam);
+    output.decisions.push_back(
+        {"call-refused",
+         request.service + request.path,
+         "reason=" + std::string(model::reasonInfo(reason).name) + " operation=" + std::to_string(static_cast<int>(request.operation)) + teams});
+    refuse(token, reason, output);
+}
+
+/** Finds the queue of a request and authorizes its caller. @param target receives the path without the queue's prefix and the caller's team. @return the queue;
+ * null if the request was refused. */
+const wire::QueueSpecT *queueFor(Leader &leader, const job::State &state, Token token, const wire::RequestT &request, Target &target, LeaderOutput &output)
 {
     if (state.plan.version == 0) {
         refuse(token, model::Reason::ConfigNotLearnt, output);
@@ -44,28 +71,51 @@
         refuse(token, model::Reason::UnknownQueue, output);
         return nullptr;
     }
-    rest = request.path.substr(queue->prefix.size());
+    Authorization authorization = authorizeCall(state.plan, *queue, request.credential);
+    if (authorization.rejection != model::Reason::None) {
+        refuseCaller(leader, token, request, authorization.rejection, {}, output);
+        return nullptr;
+    }
+    target.rest = request.path.substr(queue->prefix.size());
+    target.team = std::move(authorization.team);
     return queue;
 }
 
+/** @return whether the caller may access the job; the request was refused otherwise. */
+bool mayAccess(Leader &leader, const job::State &state, Token token, const wire::RequestT &request, const JobOrigin &job, const std::string &team,
+               LeaderOutput &output)
+{
+    const model::Reason rejection = authorizeJobAccess(state.plan, job, team);
+    if (rejection != model::Reason::None) {
+        refuseCaller(leader, token, request, rejection, " team=" + team + " job-team=" + job.team, output);
+    }
+    return rejection == model::Reason::None;
+}
+
 void submit(Leader &leader, const job::State &state, Token token, wire::RequestT request, const Now &now, LeaderOutput &output)
 {
-    std::string id;
-    const wire::QueueSpecT *queue = queueFor(state, token, request, id, output);
+    Target target;
+    const wire::QueueSpecT *queue = queueFor(leader, state, token, request, target, output);
     if (queue == nullptr) {
         return;
     }
+    const std::string &id = target.rest;
     if (id.empty() || !request.job) {
         refuse(token, model::Reason::BadKey, output);
         return;
     }
-    if (state.jobNumberById.count(id) > 0) {
-        answer(token, {}, output); // A repeated submission.
+    const auto accepted = state.jobNumberById.find(id);
+    if (accepted != state.jobNumberById.end()) {
+        if (mayAccess(leader, state, token, request, originOf(state.jobs.at(accepted->second).spec), target.team, output)) {
+            answer(token, {}, output); // A repeated submission.
+        }
         return;
     }
     const auto proposed = leader.pendingSubmits.find(id);
     if (proposed != leader.pendingSubmits.end()) {
-        proposed->second.push_back(token);
+        if (mayAccess(leader, state, token, request, proposed->second.origin, target.team, output)) {
+            proposed->second.tokens.push_back(token);
+        }
         return;
     }
     wire::JobAcceptedT record;
@@ -74,6 +124,7 @@
     record.spec->id = id;
     record.spec->host = queue->host;
     record.spec->prefix = queue->prefix;
+    record.spec->team = target.team;
     const std::uint64_t neededBytes = job::acceptedBytes(*record.spec);
     if (!internal::hasRoomFor(leader, state, neededBytes)) {
         ++leader.counters.jobsWithoutRoom;
@@ -86,29 +137,30 @@
         return;
     }
     leader.proposedBytes += neededBytes;
-    leader.pendingSubmits[id].push_back(token);
+    leader.pendingSubmits[id] = {originOf(*record.spec), {token}};
     internal::prefetchAdvice(leader, *record.spec, *queue, now, output); // The reply arrives while the record is committed.
     output.proposals.push_back(wire::encodeChange(std::move(record)));
 }
 
 /** @return the job that the request names; null if the request was refused. */
-const job::Job *jobFor(const job::State &state, Token token, const wire::RequestT &request, LeaderOutput &output)
+const job::Job *jobFor(Leader &leader, const job::State &state, Token token, const wire::RequestT &request, LeaderOutput &output)
 {
-    std::string id;
-    if (queueFor(state, token, request, id, output) == nullptr) {
+    Target target;
+    if (queueFor(leader, state, token, request, target, output) == nullptr) {
         return nullptr;
     }
-    const auto found = state.jobNumberById.find(id);
+    const auto found = state.jobNumberById.find(target.rest);
     if (found == state.jobNumberById.end()) {
         refuse(token, model::Reason::UnknownJob, output);
         return nullptr;
     }
-    return &state.jobs.at(found->second);
+    const job::Job &job = state.jobs.at(found->second);
+    return mayAccess(leader, state, token, request, originOf(job.spec), target.team, output) ? &job : nullptr;
 }
 
 void cancel(Leader &leader, const job::State &state, Token token, const wire::RequestT &request, const Now &now, LeaderOutput &output)
 {
-    const job::Job *job = jobFor(state, token, request, output);
+    const job::Job *job = jobFor(leader, state, token, request, output);
     if (job == nullptr) {
         return;
     }
@@ -126,10 +178,10 @@
     }
 }
 
-void reportLength(const Leader &leader, const job::State &state, Token token, const wire::RequestT &request, LeaderOutput &output)
+void reportLength(Leader &leader, const job::State &state, Token token, const wire::RequestT &request, LeaderOutput &output)
 {
-    std::string rest;
-    const wire::QueueSpecT *queue = queueFor(state, token, request, rest, output);
+    Target target;
+    const wire::QueueSpecT *queue = queueFor(leader, state, token, request, target, output);
     if (queue == nullptr) {
         return;
     }
@@ -217,7 +269,7 @@
     case wire::Operation::JobQuery:
         if (namesQueue(state, request)) {
             reportLength(leader, state, token, request, output);
-        } else if (const job::Job *job = jobFor(state, token, request, output)) {
+        } else if (const job::Job *job = jobFor(leader, state, token, request, output)) {
             answerPhase(token, *job, output);
         }
         return;
--- a/Source/job/footprint.cpp
+++ b/Source/job/footprint.cpp
@@ -21,7 +21,7 @@
 
 std::uint64_t specBytes(const wire::JobSpecT &spec)
 {
-    std::uint64_t bytes = jobBytes + textBytes(spec.id.size() + spec.host.size() + spec.prefix.size() + spec.payload.size());
+    std::uint64_t bytes = jobBytes + textBytes(spec.id.size() + spec.host.size() + spec.prefix.size() + spec.payload.size() + spec.team.size());
     for (const auto &step : spec.steps) {
         bytes += stepBytes + predecessorBytes * step->after.size() + textBytes(step->label.size() + step->dataRack.size() + step->image.size());
     }
--- a/Source/model/reason.cpp
+++ b/Source/model/reason.cpp
@@ -72,6 +72,10 @@
     ReasonInfo{Reason::UnknownJob, "unknown-job", 410, Never, "no such job was accepted, or it ended longer ago than jobs are kept"},
     ReasonInfo{Reason::NotAdviser, "not-adviser", 503, Later, "this host can't reach the advice service"},
     ReasonInfo{Reason::StateFull, "state-full", 503, Later, "the control hosts have no memory for this job beside those that they hold; nothing was stored"},
+    ReasonInfo{Reason::CredentialMissing, "credential-missing", 401, Changed, "the queue isn't public and the call has no team key; nothing was done"},
+    ReasonInfo{Reason::CredentialUnknown, "credential-unknown", 401, Changed, "the plan in force has no such team key; nothing was done"},
+    ReasonInfo{Reason::OtherTeam, "other-team", 403, Changed, "the job belongs to another team than the team key, or needs a team key; nothing was done"},
+    ReasonInfo{Reason::InvalidTeams, "invalid-teams", 400, Changed, "the teams of the plan are invalid; the detail names the fault"},
 };
 
 class ReasonCategory final : public std::error_category
--- a/Source/model/reason.h
+++ b/Source/model/reason.h
@@ -67,6 +67,10 @@
     UnknownJob,
     NotAdviser,
     StateFull,
+    CredentialMissing,
+    CredentialUnknown,
+    OtherTeam,
+    InvalidTeams,
 };
 
 /** What the caller of a refused request may do. */
--- a/Tests/deployment/calls.cpp
+++ b/Tests/deployment/calls.cpp
@@ -96,6 +96,22 @@
     }
 }
 
+/** A submission is accepted, its answer lost and its key removed: a rejection of the repetition would state that nothing was done. */
+TEST_CASE(Calls, ARemovedKeyDoesNotHideAnAcceptedSubmission)
+{
+    EntryProcess process = startEntryProcess(1);
+    wire::ReplyT reply;
+    reply.leader = "c0";
+    reply.error = static_cast<std::uint16_t>(model::Reason::LeadershipLost);
+    deployment::handleReply(process.host, callLeader(process, wire::Operation::SubmitJob), reply, process.now, process.output);
+    process.output = {};
+    process.now.monotonicMs += process.host.options.retryDelayMs;
+    deployment::tick(process.host, process.now, process.output);
+    reply.error = static_cast<std::uint16_t>(model::Reason::CredentialUnknown);
+    deployment::handleReply(process.host, process.output.calls.at(0).id, reply, process.now, process.output);
+    CHECK_EQUAL(static_cast<int>(model::Reason::HomeSilent), static_cast<int>(process.output.replies.at(0).reply.error));
+}
+
 /** A restarted host took the reply to a query of its predecessor for one to its own, and a submission's reply for the list of control hosts. */
 TEST_CASE(Calls, ARestartedHostIgnoresTheTopologyOfItsPredecessor)
 {
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -1323,6 +1323,7 @@
     FakeHost *target = entryHost();
     if (target != nullptr) {
         body.waitMs = 2800;
+        body.credential = credential;
         // A suspended host handles the request later, so the action must not refer to local variables.
         onHost(target->id,
                target->generation,
@@ -1358,6 +1359,10 @@
         queue->adviceMs = 50;
         body.plan->queues.push_back(std::move(queue));
     }
+    body.plan->requiresKeys = teams.has_value();
+    for (const wire::TeamSpecT &team : teams.value_or(std::vector<wire::TeamSpecT>())) {
+        body.plan->teams.push_back(std::make_unique<wire::TeamSpecT>(team));
+    }
     const deployment::Token token = submitRequest(std::move(body));
     return runUntil(
                [&] {
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -228,6 +228,8 @@
     std::map<std::string, wire::JobSpecT> jobs; ///< All submitted jobs, by id.
     std::set<std::string> crashingJobs; ///< Ids of the jobs whose tasks crash each upstream that starts them.
     std::vector<std::string> violations; ///< Guarantees that were violated.
+    std::optional<std::vector<wire::TeamSpecT>> teams; ///< Teams of the plans submitted next; without them a plan requires no keys.
+    std::string credential; ///< Digest of the key that requests carry.
     bool trace = false; ///< Writes decisions, orders and ends to the standard error stream.
     std::uint64_t starts = 0;
     std::uint64_t aloneEnds = 0;
--- a/Tests/job/jobs.cpp
+++ b/Tests/job/jobs.cpp
@@ -217,6 +217,7 @@
 TEST_CASE(Jobs, TheImageRestoresTheState)
 {
     job::State state = stateWithJob({makeStep(2), makeStep(1)});
+    state.jobs.at(1).spec.team = "t";
     place(state, 0, 0, 1);
     end(state, 0, 0, 1, wire::RunEnd::Failed, "c1");
     place(state, 0, 0, 2);
@@ -228,6 +229,7 @@
     CHECK_EQUAL(1U, copy.jobs.at(1).occurrences.at(0).steps[0].activeCount);
     CHECK_EQUAL(std::uint64_t{1}, copy.plan.version);
     CHECK(copy.jobNumberById.count("j") == 1);
+    CHECK_TEXT("t", copy.jobs.at(1).spec.team);
 }
 
 /** A task that crashes each upstream was started again without end, as lost runs don't count as attempts. */
