platform: Read teams, public routes and callers' keys

The field `tenants` of a configuration and the header Authorization were ignored. readPlan() now reads name, apiKeys, weight and maxCount of each tenant and `public` of each route; requiresKeys is true exactly if the body has `tenants`. Its faults are an enumeration in place of texts. Faults of teams are refused with 400 `invalid-teams`: no name, a field of another type, an empty key, a repeated name, a key in two tenants.

Other faults keep their status. Without `tenants` the field `public` isn't read, so that such a configuration is accepted or refused as before.

Platform.ReadsTeamsAndCredentials and RefusesInvalidTeams are new; the two tests of plans use the enumeration, and now also check the reason.

--- a/Tests/platform/bodies.cpp
+++ b/Tests/platform/bodies.cpp
@@ -17,11 +17,16 @@
     std::string text = plan;
     return text.replace(text.find(from), from.size(), to);
 }
+
+std::string planWithTeams(const std::string &teams, const std::string &route = "\"priority\":1")
+{
+    return planWith("\"priority\":1", route).insert(1, "\"tenants\":" + teams + ",");
+}
 }
 
 TEST_CASE(Platform, ReadsAPlan)
 {
-    std::string error;
+    platform::PlanError error{};
     const auto read = platform::readPlan(plan, error);
     CHECK(read != nullptr);
     CHECK_EQUAL(std::uint64_t{7}, read->version);
@@ -39,10 +44,56 @@
                                     duplicateRoute,
                                     std::string("[]"),
                                     std::string()}) {
-        std::string error;
+        platform::PlanError error{};
         CHECK(platform::readPlan(text, error) == nullptr);
-        CHECK(!error.empty());
+        CHECK(error != platform::PlanError::None);
+        CHECK(platform::planErrorReason(error) == model::Reason::InvalidDocument);
+    }
+}
+
+/** Keys leave the text of the plan only as digests. */
+TEST_CASE(Platform, ReadsTeamsAndCredentials)
+{
+    platform::PlanError error{};
+    const auto open = platform::readPlan(planWith("\"priority\":1", R"("public":"yes")"), error);
+    CHECK(open != nullptr && !open->requiresKeys); // Without tenants the field isn't read.
+    const std::string route = R"("public":true,"priority":1)";
+    const auto read = platform::readPlan(planWithTeams(R"([{"name":"a","apiKeys":["k1","k2","k1"],"weight":2.5,"priority":3,"note":[],
+        "maxCount":{"cpu":9000,"memMb":5}},{"name":"b"}])",
+                                                       route),
+                                         error);
+    CHECK(read != nullptr && read->requiresKeys && read->queues[0]->isPublic);
+    const wire::TeamSpecT &team = *read->teams.at(0);
+    CHECK_EQUAL(std::size_t{2}, team.keyDigests.size());
+    CHECK_TEXT("6ab9f1eb8f7d3388f4f9d586f66e99fd54080df2c446f0e58668b09c08a16dd0", team.keyDigests[0]);
+    CHECK_EQUAL(2.5, team.weight);
+    CHECK_EQUAL(std::uint64_t{9000}, team.limitCpuMillis);
+    CHECK_EQUAL(1.0, read->teams.at(1)->weight);
+    CHECK(platform::readPlan(planWithTeams("[]"), error)->requiresKeys);
+    for (const char *header : {"Token k1", "token  k1 "}) {
+        CHECK_TEXT(team.keyDigests[0], platform::readCredential(header));
+    }
+    for (const char *header : {"", "Token", "Token ", "Token  ", "k1", "Basic k1"}) {
+        CHECK_TEXT("", platform::readCredential(header));
+    }
+}
+
+TEST_CASE(Platform, RefusesInvalidTeams)
+{
+    const auto checkRefused = [](const std::string &teams, platform::PlanError expected, const std::string &route = "\"priority\":1") {
+        platform::PlanError error{};
+        CHECK(platform::readPlan(planWithTeams(teams, route), error) == nullptr);
+        CPPUNIT_ASSERT_MESSAGE(teams, error == expected);
+        CHECK_EQUAL(400U, model::reasonInfo(platform::planErrorReason(error)).httpStatus);
+    };
+    for (const char *field :
+         {R"("name":null)", R"("name":1)", R"("apiKeys":"k")", R"("apiKeys":[7])", R"("apiKeys":[""])", R"("weight":-1)", R"("maxCount":{"cpu":"1"})"}) {
+        checkRefused(R"([{"name":"a",)" + std::string(field) + "}]", platform::PlanError::TeamUnreadable); // Of two names the last one counts.
     }
+    checkRefused("null", platform::PlanError::TeamUnreadable);
+    checkRefused(R"([{"name":"a"},{"name":"a"}])", platform::PlanError::TeamRepeated);
+    checkRefused(R"([{"name":"a","apiKeys":["x","k"]},{"name":"b","apiKeys":["k"]}])", platform::PlanError::KeyShared);
+    checkRefused("[]", platform::PlanError::PublicUnreadable, "\"public\":1");
 }
 
 TEST_CASE(Platform, ReadsAJobAndRefusesOthers)
