deployment: Keep each team within its limit

A plan may limit what a team has running on all upstreams together. Nothing enforced it.

The leader charges a run to its team from the placement, before its record is committed and so before a start can be sent, until its end is listed or it is proved that it can't run any more: the charge ends with releaseRun(), whose callers are listed with their proofs in docs/design/teams.md. The usage is kept incrementally and rebuilt in beginLeading() before anything is placed. Filling tasks are charged their processor time. Steps wider than the limit run in waves. A gang that can never fit is rejected (beyond-team-limit, 429), and so is a single task, which would wait for ever. A step that only the limit holds back reserves nothing, counts as no failed attempt, requests no advice in a pass and is tried again when a run of its team is released. Advice that is requested ahead of the record (prefetchAdvice) doesn't consult the limit yet.

The functions are in policy/teamshare; the cell's fair queue uses them, too.

Ruled out: a recount in each pass (it is the check in the simulation), counting by the replicated state (misses runs whose records aren't committed), the tolerance that the users' rule allows (not needed).

--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -2,6 +2,7 @@
 
 #include "model/reason.h"
 
+#include <cstddef>
 #include <string_view>
 
 namespace rosemaryturn::daemon
@@ -28,6 +29,45 @@
     appendMetric(text, name + "_count", total);
 }
 
+/** Maximum number of teams with gauges of their own, the first ones by name. */
+constexpr std::size_t maxTeamsShown = 100;
+
+/** @return a text as the value of a label in the Prometheus text format. */
+std::string labelValue(std::string_view text)
+{
+    std::string value;
+    for (const char symbol : text) {
+        if (symbol == '\\' || symbol == '"') {
+            value += '\\';
+        }
+        value += symbol == '\n' ? ' ' : symbol;
+    }
+    return value;
+}
+
+/** Appends what each team of the plan has running and its limit; a limit of 0 means none. */
+void appendTeamMetrics(std::string &text, const deployment::Leader &leader)
+{
+    std::size_t shown = 0;
+    for (const auto &[name, limits] : leader.teams) {
+        if (++shown > maxTeamsShown) {
+            break;
+        }
+        const auto found = leader.teamUsage.find(name);
+        const model::Resources used = found == leader.teamUsage.end() ? model::Resources{} : found->second;
+        const std::string label = "{team=\"" + labelValue(name) + "\"}";
+        appendMetric(text, "team_running_cpu_millis" + label, used.cpuMillis);
+        appendMetric(text, "team_limit_cpu_millis" + label, limits.most.cpuMillis);
+        appendMetric(text, "team_running_memory_mb" + label, used.memoryMb);
+        appendMetric(text, "team_limit_memory_mb" + label, limits.most.memoryMb);
+        appendMetric(text, "team_running_accelerators" + label, used.accelerators);
+        appendMetric(text, "team_limit_accelerators" + label, limits.most.accelerators);
+    }
+    appendMetric(text, "teams", leader.teams.size());
+    appendMetric(text, "jobs_beyond_team_limit_total", leader.counters.jobsBeyondTeamLimit);
+    appendMetric(text, "steps_held_by_team_limit_total", leader.counters.stepsHeldByTeamLimit);
+}
+
 void appendLeaderMetrics(std::string &text, const deployment::Leader &leader)
 {
     const deployment::LeaderCounters &counters = leader.counters;
@@ -69,6 +109,7 @@
 {
     std::string text;
     appendLeaderMetrics(text, host.leader);
+    appendTeamMetrics(text, host.leader);
     appendMetric(text, "orders_through_couriers_total", host.couriers.ordersSent);
     appendMetric(text, "orders_given_back_total", host.couriers.ordersDeclined);
     appendMetric(text, "orders_lost_with_courier_total", host.couriers.ordersLost);
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -29,6 +29,8 @@
                 run.number = task.activeRun;
                 run.phase = RunPhase::Inherited;
                 run.need = internal::resourcesPerTask(spec);
+                run.charged = internal::chargePerTask(spec);
+                run.team = job.spec.team;
                 run.gang = spec.gang;
                 run.longRunning = spec.longRunning;
                 run.crashes = task.crashes;
@@ -40,8 +42,7 @@
                     internal::proposeEnd(run, wire::RunEnd::Lost, run.checkpoint, lost);
                     continue;
                 }
-                leader.placements[run.task] = task.upstream;
-                upstream::addRun(upstreamState->second, std::move(run));
+                internal::addPlacedRun(leader, upstreamState->second, std::move(run));
             }
         }
     }
@@ -154,6 +155,7 @@
     leader.term = term;
     leader.leadingSinceMs = now.monotonicMs;
     internal::applyPlanToAdvice(leader, state.plan);
+    internal::applyPlanToTeams(leader, state.plan);
     for (const auto &[number, seen] : state.upstreams) {
         internal::addUpstream(leader, seen, now);
         upstream::UpstreamState &upstreamState = leader.upstreams.at(number);
@@ -225,6 +227,7 @@
         answerWaiting(leader.pendingPlans, plan->version, reply, output);
         output.decisions.push_back({"plan-in-force", std::to_string(state.plan.version), "queues=" + std::to_string(state.plan.queues.size())});
         internal::applyPlanToAdvice(leader, state.plan);
+        internal::applyPlanToTeams(leader, state.plan);
         internal::applyPlanToWaitingSteps(leader, state, now, output);
     } else if (const auto *forgotten = record.change.AsJobsForgotten()) {
         for (const std::uint64_t number : forgotten->jobs) {
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -2,12 +2,15 @@
 
 #include "job/jobs.h"
 #include "model/reason.h"
+#include "policy/teamshare.h"
 #include "policy/waitingorder.h"
 #include "upstream/upstreamstate.h"
 #include "wire/codec.h"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -216,6 +219,8 @@
     std::vector<std::uint32_t> reserved; ///< Numbers of the upstreams reserved for it.
     std::vector<std::uint32_t> unplaced; ///< Indexes of the tasks without a run.
     std::uint32_t crashes = 0; ///< Largest number of crashes of one of them.
+    std::string team; ///< Team of its job; empty for none.
+    bool heldByTeamLimit = false; ///< The latest attempt found that none of its tasks fits the limit of its team.
 };
 
 /** A host that can send requests to the advice service. */
@@ -292,6 +297,8 @@
     std::uint64_t jobsFailedByPlan = 0; ///< Jobs that failed with a plan, as a task had failed as often as the plan allows.
     std::uint64_t jobsWithoutRoom = 0; ///< Refusals of jobs that the state has no room for.
     std::uint64_t occurrencesWithoutRoom = 0; ///< Occurrences of timed jobs that were due and had to wait for room.
+    std::uint64_t jobsBeyondTeamLimit = 0; ///< Refusals of jobs with a gang or a task that exceeds the limit of its team.
+    std::uint64_t stepsHeldByTeamLimit = 0; ///< How often a waiting step came to be held back by the limit of its team.
     std::uint64_t badHeartbeats = 0; ///< Heartbeats that describe no upstream to use.
     std::uint64_t jobsCompleted = 0;
     std::uint64_t jobsFailed = 0;
@@ -330,6 +337,8 @@
     std::map<std::uint64_t, std::vector<Token>> pendingWaves; ///< Requests that wait for a wave's record, by number.
     std::map<std::pair<std::string, std::string>, std::uint64_t> queuedCounts; ///< Number of jobs without a started task, by queue.
     std::set<std::uint64_t> queuedJobs; ///< Jobs counted in queuedCounts.
+    std::map<std::string, policy::TeamLimits, std::less<>> teams; ///< The teams of the plan in force, by name.
+    std::map<std::string, model::Resources, std::less<>> teamUsage; ///< What the runs of each team with runs are charged, by name; empty for no team.
     std::uint64_t nextCall = 1;
     std::unordered_map<std::string, double> allowedShares; ///< Smoothed share of requested upstreams that the advice service allows, by queue.
     std::uint64_t lastPlacementMs = 0; ///< Time of the latest placement pass.
@@ -339,6 +348,7 @@
     std::uint64_t nextLoadReportMs = 0;
     std::uint64_t nextDueScanMs = 0;
     std::uint64_t nextWaitReportMs = 0; ///< Earliest time of the next report of a step that wasn't placed.
+    std::uint64_t nextHoldReportMs = 0; ///< Earliest time of the next report of a step that the limit of its team holds back.
     LeaderCounters counters;
 };
 
@@ -413,6 +423,16 @@
 void onJobEnded(Leader &leader, const job::State &state, const job::Job &job, const Now &now, LeaderOutput &output);
 void tickRuns(Leader &leader, const job::State &state, upstream::UpstreamState &upstreamState, const Now &now, LeaderOutput &output);
 
+// leaderteams.cpp
+void applyPlanToTeams(Leader &leader, const wire::PlanAcceptedT &plan);
+model::Resources chargePerTask(const wire::StepSpecT &step);
+void addPlacedRun(Leader &leader, upstream::UpstreamState &upstreamState, upstream::Run run);
+void releaseCharge(Leader &leader, const upstream::Run &run);
+std::size_t tasksWithinTeamLimit(const Leader &leader, const std::string &team, const wire::StepSpecT &step);
+bool isHeldByTeamLimit(const Leader &leader, const std::string &team, const wire::StepSpecT &step);
+std::optional<std::uint32_t> stepBeyondTeamLimit(const Leader &leader, const wire::JobSpecT &job);
+std::string describeTeamUsage(const Leader &leader, const std::string &team);
+
 // leaderwaiting.cpp, leaderadvice.cpp and leaderplacing.cpp
 void enqueueReadySteps(Leader &leader, const job::State &state, const job::Job &job, const Now &now);
 void updateWaitingStep(Leader &leader, const job::State &state, const StepRef &ref, const Now &now);
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -189,15 +189,16 @@
         run.task = task;
         run.number = (attempt.step.gang ? lastGangRun : (before == nullptr ? 0 : before->run)) + 1;
         run.need = resourcesPerTask(attempt.step);
+        run.charged = chargePerTask(attempt.step);
+        run.team = attempt.waiting.team;
         run.gang = attempt.step.gang;
         run.longRunning = attempt.step.longRunning;
         run.crashes = before == nullptr ? 0 : before->crashes;
         const auto ticket = attempt.advice.allowed.find(chosen[i]);
         run.ticket = ticket == attempt.advice.allowed.end() ? "" : ticket->second.text;
         record.runs.emplace_back(task.job, chosen[i], task.occurrence, task.step, task.index, run.number);
-        leader.placements[task] = chosen[i];
         const bool suspect = run.crashes > 0;
-        upstream::addRun(leader.upstreams.at(chosen[i]), std::move(run));
+        addPlacedRun(leader, leader.upstreams.at(chosen[i]), std::move(run));
         PlacementCandidate *candidate = suspect ? findCandidate(attempt.candidates, chosen[i]) : nullptr;
         if (candidate != nullptr) {
             findSuspects(*candidate, now);
@@ -298,6 +299,22 @@
                                     + " advicePending=" + std::to_string(attempt.advice.pendingCalls.size())});
 }
 
+/** Notes that only the limit of its team holds a step back. It keeps no upstreams and requests no advice, and is tried again once the usage falls. */
+void holdByTeamLimit(Leader &leader, WaitingStep &waiting, const Now &now, LeaderOutput &output)
+{
+    waiting.reserved.clear();
+    if (waiting.heldByTeamLimit) {
+        return;
+    }
+    constexpr std::uint64_t reportIntervalMs = 250;
+    waiting.heldByTeamLimit = true;
+    ++leader.counters.stepsHeldByTeamLimit;
+    if (now.monotonicMs >= leader.nextHoldReportMs) {
+        leader.nextHoldReportMs = now.monotonicMs + reportIntervalMs;
+        output.decisions.push_back({"held-by-team-limit", waiting.name, describeTeamUsage(leader, waiting.team)});
+    }
+}
+
 /** Places the tasks that fit, and requests tickets if only they are missing. */
 void tryPlace(Leader &leader, const job::State &state, PlacementAttempt &attempt, const Now &now, wire::RunsPlacedT &record, LeaderOutput &output)
 {
@@ -317,6 +334,10 @@
     if (attempt.waiting.unplaced.empty()) {
         return;
     }
+    if (isHeldByTeamLimit(leader, attempt.waiting.team, attempt.step)) {
+        holdByTeamLimit(leader, attempt.waiting, now, output);
+        return;
+    }
     reportWait(leader, attempt, candidates.size(), now, output);
     attempt.waiting.nextAttemptMs = now.monotonicMs + retryPauseMs(attempt.waiting);
     ++attempt.waiting.failedAttempts;
@@ -376,6 +397,14 @@
     if (queue == nullptr) {
         return false; // The queue isn't configured.
     }
+    const wire::StepSpecT &step = *job.spec.steps[waiting.ref.step];
+    if (isHeldByTeamLimit(leader, waiting.team, step)) {
+        holdByTeamLimit(leader, waiting, now, output);
+        return false;
+    }
+    if (std::exchange(waiting.heldByTeamLimit, false)) {
+        waiting.nextAttemptMs = 0;
+    }
     ServiceCandidates &serviceCandidates = candidatesByService[queue->service];
     Advice &advice = leader.advice[waiting.name];
     advice.lastUsedMs = now.monotonicMs;
@@ -387,7 +416,6 @@
         markReserved(waiting, serviceCandidates.candidates);
         return false;
     }
-    const wire::StepSpecT &step = *job.spec.steps[waiting.ref.step];
     PlacementAttempt attempt{waiting, step, *queue, advice, serviceCandidates.candidates};
     if (waiting.crashes > 0) {
         limitAttempt(leader, state, attempt, now);
@@ -397,6 +425,7 @@
         waiting.nextAttemptMs = now.monotonicMs + retryMs;
         return false;
     }
+    attempt.maxTasks = std::min(attempt.maxTasks, tasksWithinTeamLimit(leader, waiting.team, step));
     const bool tooLate = policy::timelinessOf(waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
     if (tooLate && !hasSpareCapacity(serviceCandidates)) {
         leader.placementNeeded = true;
@@ -410,7 +439,7 @@
         serviceCandidates.hasSpareCapacity.reset();
     }
     const bool requestedOnly = ticketless && !advice.pendingCalls.empty();
-    return !waiting.unplaced.empty() && !requestedOnly;
+    return !waiting.unplaced.empty() && !requestedOnly && !waiting.heldByTeamLimit;
 }
 }
 
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -74,6 +74,13 @@
     record.spec->id = id;
     record.spec->host = queue->host;
     record.spec->prefix = queue->prefix;
+    if (const std::optional<std::uint32_t> step = internal::stepBeyondTeamLimit(leader, *record.spec)) {
+        ++leader.counters.jobsBeyondTeamLimit;
+        output.decisions.push_back(
+            {"job-beyond-team-limit", id, "step=" + std::to_string(*step) + " " + internal::describeTeamUsage(leader, record.spec->team)});
+        refuse(token, model::Reason::BeyondTeamLimit, output);
+        return;
+    }
     const std::uint64_t neededBytes = job::acceptedBytes(*record.spec);
     if (!internal::hasRoomFor(leader, state, neededBytes)) {
         ++leader.counters.jobsWithoutRoom;
--- a/Source/deployment/leaderruns.cpp
+++ b/Source/deployment/leaderruns.cpp
@@ -302,9 +302,13 @@
     }
 }
 
-/** Removes a run and its placement, which frees its capacity. @param task by value, since it may refer to the removed run's own field. */
+/** Removes a run and its placement, which frees its capacity and ends its charge. @param task by value, since it may refer to the removed run's own field. */
 void releaseRun(Leader &leader, UpstreamState &upstreamState, job::TaskRef task)
 {
+    const auto run = upstreamState.runs.find(task);
+    if (run != upstreamState.runs.end()) {
+        releaseCharge(leader, run->second);
+    }
     upstream::removeRun(upstreamState, task);
     leader.placements.erase(task);
 }
--- a/Source/deployment/leaderwaiting.cpp
+++ b/Source/deployment/leaderwaiting.cpp
@@ -164,6 +164,7 @@
         const wire::QueueSpecT *queue = job::queueOf(state, job);
         waiting.ref = ref;
         waiting.name = stepName(job.spec.id, ref.occurrence, ref.step);
+        waiting.team = job.spec.team;
         waiting.waitingSinceMs = now.monotonicMs;
         waiting.dueWallMs = dueTimeMs(job, ref.occurrence);
         waiting.key = waitingKey(queue, job, ref.step, waiting.dueWallMs, now);
--- a/Source/policy/fairqueue.cpp
+++ b/Source/policy/fairqueue.cpp
@@ -1,16 +1,11 @@
 #include "policy/fairqueue.h"
 
-#include <algorithm>
+#include "policy/teamshare.h"
 
 namespace rosemaryturn::policy
 {
 namespace
 {
-double share(std::uint64_t used, std::uint64_t total)
-{
-    return total == 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(total);
-}
-
 bool hasTasks(const std::map<std::string, ServiceQueue, std::less<>> &services)
 {
     return !services.empty();
@@ -66,17 +61,11 @@
     }
     return false;
 }
-
-bool fitsQuota(std::uint64_t used, std::uint64_t need, std::uint64_t quota)
-{
-    return quota == 0 || used + need <= quota;
-}
 }
 
 double dominantShare(const TeamQueue &team, const model::Resources &total)
 {
-    return std::max(
-        {share(team.used.cpuMillis, total.cpuMillis), share(team.used.memoryMb, total.memoryMb), share(team.used.accelerators, total.accelerators)});
+    return dominantShare(team.used, total);
 }
 
 void setTotal(FairQueue &queue, const model::Resources &total)
@@ -168,8 +157,6 @@
     if (found == queue.teams.end()) {
         return true;
     }
-    const TeamQueue &entry = found->second;
-    return fitsQuota(entry.used.cpuMillis, need.cpuMillis, entry.quota.cpuMillis) && fitsQuota(entry.used.memoryMb, need.memoryMb, entry.quota.memoryMb)
-        && fitsQuota(entry.used.accelerators, need.accelerators, entry.quota.accelerators);
+    return fitsLimit(found->second.used, need, found->second.quota);
 }
 }
--- a/Source/upstream/upstreamstate.h
+++ b/Source/upstream/upstreamstate.h
@@ -43,6 +43,8 @@
     std::uint32_t number = 0;
     RunPhase phase = RunPhase::Recording;
     model::Resources need;
+    model::Resources charged; ///< What counts against the limit of its team: the need, and the processor time of a filling task.
+    std::string team; ///< Team of its job; empty for none.
     bool gang = false; ///< The run is a member of a gang, whose members end together.
     bool longRunning = false; ///< The task runs until its job is cancelled.
     std::uint32_t crashes = 0; ///< Number of earlier runs of the task under which an upstream crashed.
--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -188,6 +188,7 @@
     std::uint64_t controlFaultMs = 0; ///< Time at which the latest fault of a control host was over.
     std::uint64_t diskLostMs = 0; ///< Time at which the latest control host that lost its disk was back.
     std::mt19937_64 hazards; ///< For faults that were added later.
+    std::mt19937_64 teams; ///< For the limits of teams.
 };
 
 /** @param schedule the schedule. @param count the number of values. @return a number below it. */
@@ -224,6 +225,14 @@
     return schedule.fleet.hosts[draw(schedule, schedule.fleet.options.controlHosts)];
 }
 
+/** @param schedule the schedule. @param path of a job. @return the team that submits it; empty in a schedule without teams. */
+std::string teamOf(const MixedSchedule &schedule, const std::string &path)
+{
+    const std::vector<wire::TeamSpecT> &teams = schedule.fleet.teams;
+    const std::size_t job = std::hash<std::string>{}(path);
+    return teams.empty() ? std::string() : teams[job % teams.size()].name;
+}
+
 /** Submits a job of one to three steps. */
 void submitMixedJob(MixedSchedule &schedule)
 {
@@ -246,10 +255,10 @@
     const std::string path = "/" + std::to_string(draw(schedule, 2)) + "/j" + std::to_string(schedule.paths.size());
     schedule.paths.push_back(path);
     schedule.steps[path] = steps;
-    schedule.fleet.submit(path, steps);
+    schedule.fleet.submit(path, steps, teamOf(schedule, path));
     if (draw(schedule, 4) == 0) { // A caller without an answer repeats its request, and a request may arrive twice.
         runLater(schedule, 200 + draw(schedule, 8000), [&schedule, path] {
-            schedule.fleet.submit(path, schedule.steps.at(path));
+            schedule.fleet.submit(path, schedule.steps.at(path), teamOf(schedule, path));
         });
     }
 }
@@ -576,6 +585,56 @@
     fleet.setCapacity(upstream, {parts * partMillis, fleet.options.memoryMb});
 }
 
+/** Changes the limits of teams, up and down; those of the last team stay unlimited. @param schedule the schedule. */
+void drawTeamLimits(MixedSchedule &schedule)
+{
+    constexpr std::array<std::uint64_t, 4> cpuLimits = {5000, 9000, 16000, 40000}; // The widest gangs need 16000, the widest tasks 4000.
+    constexpr std::array<std::uint64_t, 3> memoryLimits = {0, 500, 2000};
+    std::vector<wire::TeamSpecT> &teams = schedule.fleet.teams;
+    for (std::size_t i = 0; i + 1 < teams.size(); ++i) {
+        teams[i].limitCpuMillis = cpuLimits[schedule.teams() % cpuLimits.size()];
+        teams[i].limitMemoryMb = memoryLimits[schedule.teams() % memoryLimits.size()];
+    }
+}
+
+/** Changes the limits of teams, or disrupts the leader while placements of it are being recorded, or neither. */
+void disturbTeams(MixedSchedule &schedule, bool advised)
+{
+    constexpr std::uint64_t stepMs = 2;
+    constexpr std::uint64_t maxWaitMs = 600;
+    const std::uint64_t kind = schedule.teams() % 4;
+    if (kind < 2) {
+        drawTeamLimits(schedule);
+        schedule.fleet.sendPlan(2, 3, advised);
+    } else if (kind == 2 && controlMayFail(schedule)) {
+        const auto records = [&schedule] {
+            const fakes::FakeHost *leader = schedule.fleet.leader();
+            return leader != nullptr && std::any_of(leader->host->leader.upstreams.begin(), leader->host->leader.upstreams.end(), [](const auto &entry) {
+                       return std::any_of(entry.second.runs.begin(), entry.second.runs.end(), [](const auto &run) {
+                           return run.second.phase == upstream::RunPhase::Recording;
+                       });
+                   });
+        };
+        for (std::uint64_t passedMs = 0; passedMs < maxWaitMs && !records(); passedMs += stepMs) {
+            advance(schedule, stepMs);
+        }
+        advance(schedule, schedule.teams() % 40 * stepMs);
+        if (fakes::FakeHost *leader = schedule.fleet.leader()) {
+            disruptHost(schedule, *leader);
+        }
+    }
+}
+
+/** Raises the limits so far that each accepted job can end. */
+void raiseTeamLimits(MixedSchedule &schedule, bool advised)
+{
+    for (wire::TeamSpecT &team : schedule.fleet.teams) {
+        team.limitCpuMillis = 0;
+        team.limitMemoryMb = 0;
+    }
+    CHECK(schedule.fleet.putPlan(2, 3, advised));
+}
+
 /** Ends all faults. */
 void heal(MixedSchedule &schedule)
 {
@@ -601,9 +660,10 @@
 /**
  * Runs a stream of jobs with combined faults, during which the fleet checks the guarantees.
  * @param seed the seed. @param variation of the upstreams. @param hazards whether disks, clocks and the senders of heartbeats have faults too.
+ * @param teams the number of teams; with teams, their limits change meanwhile.
  * @return the violations; empty for none.
  */
-std::string runMixedSchedule(std::uint64_t seed, const Variation &variation, bool hazards)
+std::string runMixedSchedule(std::uint64_t seed, const Variation &variation, bool hazards, std::uint32_t teams = 0)
 {
     FleetOptions options;
     const bool couriers = seed % 2 == 0;
@@ -614,8 +674,13 @@
     options.allowedShare = 0.85;
     options.crashesBreakGangs = true;
     options.upstreamBehavior = variation.behavior;
-    MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}, 0, 0, std::mt19937_64(seed)};
+    MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}, 0, 0, std::mt19937_64(seed), std::mt19937_64(seed)};
     Fleet &fleet = schedule.fleet;
+    for (std::uint32_t i = 0; i < teams; ++i) {
+        fleet.teams.emplace_back().name = "t" + std::to_string(i);
+        fleet.teams.back().weight = 1;
+    }
+    drawTeamLimits(schedule);
     fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
     waitUntilReady(fleet);
     const bool advised = draw(schedule, 2) == 0;
@@ -648,9 +713,15 @@
         if (hazards && schedule.hazards() % 2 == 0) {
             hazardFaults[schedule.hazards() % hazardFaults.size()](schedule);
         }
+        if (teams > 0) {
+            disturbTeams(schedule, advised);
+        }
         advance(schedule, 100 + draw(schedule, 700));
     }
     heal(schedule);
+    if (teams > 0) {
+        raiseTeamLimits(schedule, advised);
+    }
     constexpr std::uint64_t drainBacklogMs = 40000;
     fleet.run(drainBacklogMs);
     fleet.checkFailedJobs();
@@ -716,6 +787,13 @@
     });
 }
 
+TEST_CASE(Deployment, MixedSchedulesWithTeamsKeepThePromisesAndTheLimits)
+{
+    runSchedules([](std::uint64_t seed) {
+        return runMixedSchedule(seed, drawVariation(seed), seed % 3 == 0, 4);
+    });
+}
+
 TEST_CASE(Deployment, MixedSchedulesWithFaultyDisksClocksAndHeartbeatsKeepThePromises)
 {
     runSchedules([](std::uint64_t seed) {
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -313,6 +313,12 @@
     deployment::HostOutput output;
     action(output);
     deployment::endRound(*target.host, now(target), output);
+    if (!teams.empty() && target.host->leader.active) {
+        const std::string difference = checkTeamUsage(target.host->leader, target.host->state, jobs);
+        if (!difference.empty()) {
+            violations.push_back(difference + "at " + std::to_string(nowMs));
+        }
+    }
     emit(target, std::move(output));
 }
 
@@ -370,6 +376,9 @@
 {
     for (const deployment::Decision &decision : output.decisions) {
         traceLine(self.id + " " + std::string(decision.name) + " " + decision.id + " " + decision.detail);
+        if (!teams.empty() && decision.name == "place") {
+            recordTeamPlacements(self, decision.id);
+        }
     }
     for (consensus::PersistRequest &order : output.persist) {
         persist(self, std::move(order));
@@ -788,6 +797,7 @@
     m_lastStarts[step.gang ? stepNameOf(call.job, call.task) : name] = ++starts;
     traceLine(upstream.id + " start " + name + " run " + std::to_string(call.run) + " fence " + std::to_string(call.fence));
     upstream.runs[name] = run;
+    checkTeamOf(call.job);
     startCompleteGang(upstream, run);
     reply.status = deployment::CallStatus::Done;
     if (crashingJobs.count(call.job) > 0 && options.crashDelayMs == 0) {
@@ -805,6 +815,41 @@
     return reply;
 }
 
+/** Records the runs of a step that a leader has just placed, with the limit that it placed them by. */
+void Fleet::recordTeamPlacements(const FakeHost &host, const std::string &step)
+{
+    const deployment::Leader &leader = host.host->leader;
+    for (const auto &[task, number] : leader.placements) {
+        const upstream::Run &run = leader.upstreams.at(number).runs.at(task);
+        const std::string &id = host.host->state.jobs.at(task.job).spec.id;
+        if (run.phase == upstream::RunPhase::Recording && stepNameOf(id, task) == step) {
+            const auto team = leader.teams.find(jobs.at(id).team);
+            m_teamInvariants.recordPlacement(
+                nameOf(id, task) + "#" + std::to_string(run.number), leader.term, team == leader.teams.end() ? model::Resources{} : team->second.most);
+        }
+    }
+}
+
+/** Checks what upstreams run for the team of a job. */
+void Fleet::checkTeamOf(const std::string &job)
+{
+    if (teams.empty()) {
+        return;
+    }
+    std::vector<TeamRun> running;
+    for (const FakeUpstream &upstream : upstreams) {
+        for (const auto &[name, run] : upstream.runs) {
+            const wire::JobSpecT &spec = jobs.at(run.job);
+            const wire::StepSpecT &step = *spec.steps[run.task.step];
+            running.push_back({name + "#" + std::to_string(run.number), spec.team, {step.cpuMillis, step.memoryMb, step.accelerators, 0}});
+        }
+    }
+    const std::string violation = m_teamInvariants.checkRunning(running, jobs.at(job).team);
+    if (!violation.empty()) {
+        violations.push_back(violation + " at " + std::to_string(nowMs));
+    }
+}
+
 void Fleet::startCompleteGang(FakeUpstream &, const FakeRun &run)
 {
     if (!run.waiting) {
@@ -856,6 +901,7 @@
     traceLine(upstream.id + " end " + name + " run " + std::to_string(run.number) + " " + wire::EnumNameRunEnd(end) + " as "
               + std::to_string(upstream.nextEnd));
     upstream.runs.erase(name);
+    checkTeamOf(run.job);
     upstream.closedRuns[name] = std::max(upstream.closedRuns[name], run.number);
     aloneEnds += end == wire::RunEnd::Alone ? 1 : 0;
     upstream.startsBeforeEnd[upstream.nextEnd] = starts;
@@ -1334,6 +1380,17 @@
 }
 
 bool Fleet::putPlan(std::uint32_t queues, std::uint32_t attempts, bool advised)
+{
+    const deployment::Token token = sendPlan(queues, attempts, advised);
+    return runUntil(
+               [&] {
+                   return answer(token).answered;
+               },
+               5000)
+        && answer(token).reply.error == 0;
+}
+
+deployment::Token Fleet::sendPlan(std::uint32_t queues, std::uint32_t attempts, bool advised)
 {
     m_attempts = attempts;
     m_advised = advised;
@@ -1358,22 +1415,23 @@
         queue->adviceMs = 50;
         body.plan->queues.push_back(std::move(queue));
     }
-    const deployment::Token token = submitRequest(std::move(body));
-    return runUntil(
-               [&] {
-                   return answer(token).answered;
-               },
-               5000)
-        && answer(token).reply.error == 0;
+    for (const wire::TeamSpecT &team : teams) {
+        body.plan->teams.push_back(std::make_unique<wire::TeamSpecT>(team));
+        body.plan->teams.back()->keyDigests = {"key-" + team.name};
+    }
+    body.plan->requiresKeys = !teams.empty();
+    return submitRequest(std::move(body));
 }
 
-deployment::Token Fleet::submit(const std::string &path, const std::vector<wire::StepSpecT> &steps)
+deployment::Token Fleet::submit(const std::string &path, const std::vector<wire::StepSpecT> &steps, const std::string &team)
 {
     wire::RequestT body;
     body.operation = wire::Operation::SubmitJob;
     body.service = "q";
     body.path = path;
     body.job = std::make_unique<wire::JobSpecT>();
+    body.job->team = team;
+    body.credential = team.empty() ? "" : "key-" + team;
     for (const wire::StepSpecT &step : steps) {
         body.job->steps.push_back(std::make_unique<wire::StepSpecT>(step));
     }
@@ -1387,6 +1445,8 @@
     body.operation = operation;
     body.service = "q";
     body.path = path;
+    const auto job = jobs.find(path.substr(path.rfind('/') + 1));
+    body.credential = job == jobs.end() || job->second.team.empty() ? "" : "key-" + job->second.team;
     return submitRequest(std::move(body));
 }
 
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "deployment/host.h"
+#include "fakes/teaminvariants.h"
 
 #include <cstdint>
 #include <deque>
@@ -181,8 +182,12 @@
     /** Submits a plan with one queue per priority: host "q", prefixes "/0/", "/1/" and so on. @param queues their number. @param attempts of each. @param
      * advised whether advice is required. @return whether it was acknowledged. */
     bool putPlan(std::uint32_t queues, std::uint32_t attempts, bool advised);
-    /** Submits a job through an entry host. @param path queue prefix and job id. @param steps the steps. @return the token of the answer. */
-    deployment::Token submit(const std::string &path, const std::vector<wire::StepSpecT> &steps);
+    /** The same without waiting. @param queues their number. @param attempts of each. @param advised whether advice is required. @return the token of the
+     * answer. */
+    deployment::Token sendPlan(std::uint32_t queues, std::uint32_t attempts, bool advised);
+    /** Submits a job through an entry host. @param path queue prefix and job id. @param steps the steps. @param team that submits it; empty for none. @return
+     * the token of the answer. */
+    deployment::Token submit(const std::string &path, const std::vector<wire::StepSpecT> &steps, const std::string &team = {});
     /** Sends a request without a body through an entry host. @param operation the operation. @param path the path. @return the token of the answer. */
     deployment::Token sendRequest(wire::Operation operation, const std::string &path);
     /** Queries a job and waits for the answer. @param path of the job. @return its phase; nothing without an answer within 5 s. */
@@ -226,6 +231,7 @@
     std::vector<FakeHost> hosts;
     std::vector<FakeUpstream> upstreams;
     std::map<std::string, wire::JobSpecT> jobs; ///< All submitted jobs, by id.
+    std::vector<wire::TeamSpecT> teams; ///< Of the next plan; with teams, the limits are checked from then on. The key of each is "key-" and its name.
     std::set<std::string> crashingJobs; ///< Ids of the jobs whose tasks crash each upstream that starts them.
     std::vector<std::string> violations; ///< Guarantees that were violated.
     bool trace = false; ///< Writes decisions, orders and ends to the standard error stream.
@@ -300,6 +306,8 @@
     void report(const FakeUpstream &upstream, wire::RequestT request);
     void answerAdvice(FakeHost &self, const deployment::LocalAdviceRequest &request);
     void checkStart(const FakeUpstream &upstream, const deployment::UpstreamCall &call, const wire::StepSpecT &step);
+    void recordTeamPlacements(const FakeHost &host, const std::string &step);
+    void checkTeamOf(const std::string &job);
     void checkEarlierStarts(FakeUpstream &upstream, const deployment::ListedEnd &end);
     std::uint64_t upstreamClock(const FakeUpstream &upstream) const;
     bool isAllowed(const std::string &step, const std::string &upstream) const;
@@ -324,6 +332,7 @@
     std::map<std::string, std::multiset<std::uint64_t>> m_startsBeforeFailed; ///< Starts in the fleet before each acknowledged failed end, by task name.
     std::set<std::string> m_listedDone; ///< Tasks that some poll reply listed as done.
     std::uint64_t m_planVersion = 0;
+    TeamInvariants m_teamInvariants;
     std::uint32_t m_attempts = 1;
     bool m_advised = false;
     bool m_founded = false;
