--- a/Source/model/reason.cpp
+++ b/Source/model/reason.cpp
@@ -76,6 +76,11 @@
     ReasonInfo{Reason::CredentialUnknown, "credential-unknown", 401, Changed, "the plan in force has no such team key; nothing was done"},
     ReasonInfo{Reason::OtherTeam, "other-team", 403, Changed, "the job belongs to another team than the team key, or needs a team key; nothing was done"},
     ReasonInfo{Reason::InvalidTeams, "invalid-teams", 400, Changed, "the teams of the plan are invalid; the detail names the fault"},
+    ReasonInfo{Reason::BeyondTeamLimit,
+               "beyond-team-limit",
+               429,
+               Changed,
+               "a gang or a single task of the job needs more than the limit of its team; nothing was run"},
 };
 
 class ReasonCategory final : public std::error_category
--- a/Source/model/reason.h
+++ b/Source/model/reason.h
@@ -71,6 +71,7 @@
     CredentialUnknown,
     OtherTeam,
     InvalidTeams,
+    BeyondTeamLimit,
 };
 
 /** What the caller of a refused request may do. */
--- a/Tests/deployment/keys.cpp
+++ b/Tests/deployment/keys.cpp
@@ -129,7 +129,7 @@
         fleet.teams = {makeTeam("a", {"k1", "k2"})};
         fleet.credential = config::credentialDigest("k1");
         CHECK(fleet.putPlan(1, 2, false));
-        fleet.submit("/0/first", {fakes::makeStep(1, 1000, 300)});
+        fleet.submit("/0/first", {fakes::makeStep(1, 1000, 300)}, "a");
         CHECK(completes(fleet, "/0/first", 5000));
         const std::string old = fleet.leader()->id;
         const auto partitionOld = [&](bool partitioned) {
@@ -149,7 +149,7 @@
         }
         std::vector<Token> tokens;
         for (int i = 0; i < calls; ++i) {
-            tokens.push_back(fleet.submit("/0/late" + std::to_string(i), {fakes::makeStep(1, 1000, 300)}));
+            tokens.push_back(fleet.submit("/0/late" + std::to_string(i), {fakes::makeStep(1, 1000, 300)}, "a"));
             tokens.push_back(fleet.sendRequest(i % 2 == 0 ? Operation::JobQuery : Operation::JobCancel, "/0/first"));
             fleet.run(50);
             if (i == calls / 3) {
