transport: Limit connections, bodies and parsing of uncontrolled clients

Cause: the server held whole bodies in the library's buffers before its handler ran, without a bound over all connections, and parsed as many bodies at once as clients sent. Parsed bodies took up to 40 times their size, and each thread left the freed memory in its arena.

Change: a client table over all HTTP servers of a process charges bodies from their first byte, limits connections and closes or refuses the oldest-idle incomplete request first; large bodies are parsed a few at a time; requests have a deadline; oversized bodies are refused at the headers or cut off. The server uses libmicrohttpd directly, as ulfius offers no place before its own buffer, and poll() instead of select(). Limits follow from memoryMb and the descriptors of the process; maxConnections, maxBodiesMb and requestMs override them.

Ruled out: an epoll thread with a pool of handler threads (two thread switches more for each request), limits by address, reserving announced sizes; see docs/design/clients.md.

--- a/Source/config/deploymentsettings.cpp
+++ b/Source/config/deploymentsettings.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint64_t maxDurationMs = 3600000;
 constexpr std::uint64_t maxUpstreams = 1000000;
 constexpr std::uint64_t maxMemoryMb = 1000000;
+constexpr std::uint64_t maxClientConnections = 100000;
 
 SocketAddress readAddress(ObjectReader &reader, const char *name, std::vector<FieldError> &errors)
 {
@@ -90,6 +91,9 @@
     settings.keepJobsMs = reader.number("keepJobsMs", {1000, 100 * maxDurationMs, 180000});
     settings.heartbeatMs = reader.number("heartbeatMs", {100, maxDurationMs, 1500});
     settings.memoryMb = reader.number("memoryMb", {64, maxMemoryMb, 256});
+    settings.maxConnections = reader.number("maxConnections", {0, maxClientConnections, 0});
+    settings.maxBodiesMb = reader.number("maxBodiesMb", {0, maxMemoryMb, 0});
+    settings.requestMs = reader.number("requestMs", {1000, maxDurationMs, 30000});
     // All calls of the leader take 0.08 of a core at 48 upstreams; at 350 upstreams, the calls alone take 0.4.
     settings.couriersFromUpstreams = reader.number("couriersFromUpstreams", {1, maxUpstreams, 100});
     reader.reportUnknownFields();
--- a/Source/config/deploymentsettings.h
+++ b/Source/config/deploymentsettings.h
@@ -43,6 +43,9 @@
     std::uint64_t keepJobsMs = 0;
     std::uint64_t heartbeatMs = 0;
     std::uint64_t memoryMb = 0; ///< Memory that the process may use.
+    std::uint64_t maxConnections = 0; ///< Open connections of clients; 0 derives the limit from memory and descriptors.
+    std::uint64_t maxBodiesMb = 0; ///< Total size of the bodies of clients; 0 derives the limit from memory.
+    std::uint64_t requestMs = 0; ///< Time that a client may take to send a request.
     std::uint64_t couriersFromUpstreams = 0; ///< Number of upstreams from which non-voting hosts (couriers) deliver the orders of the leader.
 };
 
--- a/Source/daemon/deploymentdaemon.cpp
+++ b/Source/daemon/deploymentdaemon.cpp
@@ -8,10 +8,13 @@
 #include "storage/storageerror.h"
 #include "telemetry/linelimit.h"
 #include "telemetry/log.h"
+#include "transport/clienttable.h"
 #include "transport/httpclient.h"
 #include "transport/peernetwork.h"
 #include "wire/frame.h"
 
+#include <malloc.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 #include <algorithm>
@@ -38,6 +41,8 @@
 constexpr long connectionsPerUpstream = 5;
 /** Maximum number of open orders that this host delivers for the leader; further orders are declined. */
 constexpr std::uint64_t maxOpenOrders = 2000;
+/** Arenas of the allocator. Its default of eight for each processor of the machine keeps too much free memory for a process with a thread per connection. */
+constexpr int maxArenas = 8;
 /** Maximum number of requests of callers that wait for an answer at a time. */
 constexpr std::uint64_t maxWaiters = 2000;
 /** Silence after which a connection to another host is closed; heartbeats are sent four times within this time. */
@@ -153,6 +158,22 @@
     return options;
 }
 
+/** @return the limits on clients. */
+transport::ClientLimits clientLimits(const config::DeploymentSettings &settings)
+{
+    rlimit descriptors{};
+    ::getrlimit(RLIMIT_NOFILE, &descriptors);
+    transport::ClientLimits limits = transport::deriveClientLimits(settings.memoryMb, descriptors.rlim_cur);
+    limits.requestMs = settings.requestMs;
+    if (settings.maxConnections > 0) {
+        limits.maxConnections = settings.maxConnections;
+    }
+    if (settings.maxBodiesMb > 0) {
+        limits.maxBodyBytes = settings.maxBodiesMb << 20U;
+    }
+    return limits;
+}
+
 /** @return the settings of the peer network: they list this host only, as the other hosts are discovered. */
 config::Settings networkSettings(const config::DeploymentSettings &settings)
 {
@@ -184,6 +205,10 @@
                    [clock = m_clock] {
                        return clock().monotonicMs;
                    })
+        , m_clients(std::make_shared<transport::ClientTable>(clientLimits(settings),
+                                                             [clock = m_clock] {
+                                                                 return clock().monotonicMs;
+                                                             }))
         , m_origin(origin)
     {
         m_loop = std::make_unique<deployment::Loop>(std::move(host), deployment::systemClock(), sinks());
@@ -199,14 +224,16 @@
             return error;
         }
         m_loop->start();
+        m_clients->startExpiry();
         const EdgeContext context{m_gateway,
                                   [this] {
                                       return m_ready && !m_draining;
                                   },
                                   [this] {
-                                      return m_metrics.text();
+                                      return m_metrics.text() + clientMetrics(*m_clients);
                                   }};
-        for (const EdgeServer &server : m_protocol.servers(m_settings, context)) {
+        for (EdgeServer &server : m_protocol.servers(m_settings, context)) {
+            server.limits.clients = m_clients;
             m_servers.emplace_back();
             if (const std::error_code error = m_servers.back().start(server.address.ip, server.address.port, server.limits, {})) {
                 return error;
@@ -470,6 +497,7 @@
     transport::Gateway m_gateway;
     transport::PeerNetwork m_network;
     transport::AsyncHttpClient m_client;
+    std::shared_ptr<transport::ClientTable> m_clients;
     const std::uint64_t m_origin; ///< Identifies this process to the couriers that deliver its orders.
     std::atomic<std::uint64_t> m_openOrders{0};
     std::list<transport::HttpServer> m_servers;
@@ -530,6 +558,7 @@
     sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
+    ::mallopt(M_ARENA_MAX, maxArenas);
     telemetry::openLog(telemetry::standardOutput, "info");
     const auto settings = readSettingsOrLog(file);
     if (!settings) {
--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -102,4 +102,16 @@
     const std::lock_guard lock(m_mutex);
     return m_text;
 }
+
+std::string clientMetrics(const transport::ClientTable &clients)
+{
+    const transport::ClientUsage usage = clients.usage();
+    std::string text;
+    appendMetric(text, "client_connections", usage.connections);
+    appendMetric(text, "client_connections_max", clients.limits().maxConnections);
+    appendMetric(text, "client_body_bytes", usage.bodyBytes);
+    appendMetric(text, "client_body_bytes_max", clients.limits().maxBodyBytes);
+    appendMetric(text, "client_parse_bytes", usage.parseBytes);
+    return text;
+}
 }
--- a/Source/daemon/deploymentmetrics.h
+++ b/Source/daemon/deploymentmetrics.h
@@ -2,6 +2,7 @@
 
 #include "deployment/host.h"
 #include "telemetry/metrics.h"
+#include "transport/clienttable.h"
 
 #include <cstdint>
 #include <mutex>
@@ -23,4 +24,7 @@
     mutable std::mutex m_mutex;
     std::string m_text;
 };
+
+/** @param clients the connections of clients. @return one line per metric: NAME VALUE. */
+std::string clientMetrics(const transport::ClientTable &clients);
 }
--- a/Source/model/reason.cpp
+++ b/Source/model/reason.cpp
@@ -72,6 +72,9 @@
     ReasonInfo{Reason::UnknownJob, "unknown-job", 410, Never, "no such job was accepted, or it ended longer ago than jobs are kept"},
     ReasonInfo{Reason::NotAdviser, "not-adviser", 503, Later, "this host can't reach the advice service"},
     ReasonInfo{Reason::StateFull, "state-full", 503, Later, "the control hosts have no memory for this job beside those that they hold; nothing was stored"},
+    ReasonInfo{Reason::TooManyBodies, "too-many-bodies", 503, Later, "this host has no memory for another body; nothing was run"},
+    ReasonInfo{Reason::TooManyConnections, "too-many-connections", 503, Later, "this host has too many open connections; nothing was run"},
+    ReasonInfo{Reason::RequestTooSlow, "request-too-slow", 503, Later, "the request was not received in time; nothing was run"},
 };
 
 class ReasonCategory final : public std::error_category
--- a/Source/model/reason.h
+++ b/Source/model/reason.h
@@ -67,6 +67,10 @@
     UnknownJob,
     NotAdviser,
     StateFull,
+    // Refused by the HTTP server before the handler runs.
+    TooManyBodies,
+    TooManyConnections,
+    RequestTooSlow,
 };
 
 /** What the caller of a refused request may do. */
--- a/Source/telemetry/event.h
+++ b/Source/telemetry/event.h
@@ -14,6 +14,7 @@
     Draining = 1003,
     Stopped = 1004,
     HttpUnavailable = 1005,
+    ClientsLimited = 1006,
     JournalRestored = 2001,
     JournalTornTail = 2002,
     JournalFailed = 2003,
--- a/Source/transport/gateway.cpp
+++ b/Source/transport/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "model/reason.h"
 #include "telemetry/metrics.h"
+#include "transport/clienttable.h"
 
 #include <chrono>
 #include <utility>
@@ -30,6 +31,8 @@
 
 wire::ReplyT Gateway::call(wire::RequestT request)
 {
+    // The body has been parsed; the wait for the reply needs no memory for its parsed form.
+    ClientTable::releaseParsing();
     std::future<wire::ReplyT> answer;
     control::Token token = 0;
     {
--- a/Source/transport/httpserver.cpp
+++ b/Source/transport/httpserver.cpp
@@ -1,105 +1,294 @@
 #include "transport/httpserver.h"
 
 #include "model/reason.h"
+#include "transport/clienttable.h"
 #include "transport/requestjson.h"
 
 #include <arpa/inet.h>
+#include <strings.h>
 #include <unistd.h>
 
-#include <ulfius.h>
+#include <microhttpd.h>
 
-#include <list>
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <map>
 
 namespace rosemaryturn::transport
 {
+/** A received request and the variables of its path. */
+struct ReceivedRequest
+{
+    MHD_Connection *connection = nullptr;
+    std::string_view target; ///< Not unescaped.
+    std::string_view method;
+    std::string_view body;
+    std::map<std::string, std::string, std::less<>> variables;
+};
+
 namespace
 {
 constexpr intptr_t threadStackBytes = 256L * 1024L;
+/** Connections beyond the limit that the library may hold: those that the table closed and whose threads have not ended yet. */
+constexpr std::uint64_t maxClosingConnections = 64;
+constexpr std::uint32_t refusedRetryMs = 1000;
 
-/** User data of the library callback of a route. */
-struct RouteContext
+std::string_view withoutQuery(std::string_view target)
 {
-    HttpRoute route;
-    std::uint64_t maxBodyBytes = 0;
-    std::atomic<std::uint64_t> *inFlight = nullptr;
-    std::atomic<bool> *quiescing = nullptr;
-};
+    return target.substr(0, target.find('?'));
+}
 
-void send(_u_response &response, const HttpResponse &answer)
+/** @return the next segment of a path, which is removed from it together with its slash. */
+std::string_view takeSegment(std::string_view &path)
+{
+    if (path.starts_with('/')) {
+        path.remove_prefix(1);
+    }
+    const std::size_t end = std::min(path.find('/'), path.size());
+    const std::string_view segment = path.substr(0, end);
+    path.remove_prefix(end);
+    return segment;
+}
+
+/** @return whether a path matches a pattern. @param variables receives the path variables. */
+bool matches(std::string_view pattern, std::string_view path, std::map<std::string, std::string, std::less<>> &variables)
+{
+    while (!pattern.empty() && !path.empty()) {
+        const std::string_view expected = takeSegment(pattern);
+        const std::string_view segment = takeSegment(path);
+        if (expected.starts_with(':')) {
+            std::string value(segment);
+            MHD_http_unescape(value.data());
+            value.resize(value.find('\0') == std::string::npos ? value.size() : value.find('\0'));
+            variables[std::string(expected.substr(1))] = std::move(value);
+        } else if (expected != segment) {
+            return false;
+        }
+    }
+    return pattern.empty() && (path.empty() || path == "/");
+}
+
+MHD_Result queue(MHD_Connection *connection, HttpResponse &&answer, bool close)
 {
     constexpr std::uint32_t msPerSecond = 1000;
-    ulfius_set_binary_body_response(&response, answer.status, answer.body.data(), answer.body.size());
-    u_map_put(response.map_header, "Content-Type", answer.contentType);
+    auto *body = new std::string(std::move(answer.body));
+    MHD_Response *response = MHD_create_response_from_buffer_with_free_callback_cls(
+        body->size(),
+        body->data(),
+        [](void *text) {
+            delete static_cast<std::string *>(text);
+        },
+        body);
+    if (response == nullptr) {
+        delete body;
+        return MHD_NO;
+    }
+    if (close) {
+        MHD_add_response_header(response, "Connection", "close");
+    }
+    MHD_add_response_header(response, "Content-Type", answer.contentType);
     if (answer.retryAfterMs > 0) {
         const std::string seconds = std::to_string((answer.retryAfterMs + msPerSecond - 1) / msPerSecond);
-        u_map_put(response.map_header, "Retry-After", seconds.c_str());
+        MHD_add_response_header(response, "Retry-After", seconds.c_str());
     }
+    const MHD_Result result = MHD_queue_response(connection, answer.status, response);
+    MHD_destroy_response(response);
+    return result;
 }
 
-int handleRoute(const _u_request *request, _u_response *response, void *data)
+/** @return the announced size of the body; 0 if none is announced. */
+std::uint64_t announcedSize(MHD_Connection *connection)
 {
-    RouteContext &context = *static_cast<RouteContext *>(data);
-    ++*context.inFlight;
-    if (request->binary_body_length > context.maxBodyBytes) {
-        send(*response, refuseAtEdge(model::Reason::BodyTooLarge, "send at most " + std::to_string(context.maxBodyBytes) + " bytes"));
-    } else {
-        send(*response, context.route.handler(HttpCall(*request)));
+    const char *text = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length");
+    std::uint64_t size = 0;
+    if (text != nullptr) {
+        const std::string_view digits = text;
+        const auto result = std::from_chars(digits.data(), digits.data() + digits.size(), size);
+        if (result.ec == std::errc::result_out_of_range) {
+            return UINT64_MAX;
+        }
     }
-    if (*context.quiescing) {
-        u_map_put(response->map_header, "Connection", "close");
-    }
-    --*context.inFlight;
-    return U_CALLBACK_COMPLETE;
+    return size;
+}
+
+std::uint64_t steadyMs()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-int handleUnknown(const _u_request *, _u_response *response, void *)
+std::shared_ptr<ClientTable> makeTable(const HttpLimits &limits)
 {
-    send(*response, refuseAtEdge(model::Reason::NotFound, "unknown path or method; see docs/PROTOCOL.md"));
-    return U_CALLBACK_COMPLETE;
+    ClientLimits own;
+    own.maxConnections = limits.maxConnections;
+    own.maxBodyBytes = std::max(own.maxBodyBytes, limits.maxBodyBytes * 8);
+    auto table = std::make_shared<ClientTable>(own, steadyMs);
+    table->startExpiry();
+    return table;
 }
 }
 
 struct HttpServer::Implementation
 {
-    _u_instance instance{};
-    sockaddr_in address{};
-    std::list<RouteContext> routes;
+    MHD_Daemon *daemon = nullptr;
+    HttpLimits limits;
+    std::shared_ptr<ClientTable> clients;
+    std::vector<HttpRoute> routes;
     std::atomic<std::uint64_t> inFlight{0};
     std::atomic<bool> quiescing{false};
-    bool running = false;
     int listener = -1;
+    int number = 0; ///< Number of this server in the client table.
+
+    static void notifyConnection(void *data, MHD_Connection *connection, void **context, MHD_ConnectionNotificationCode code)
+    {
+        ClientTable &clients = *static_cast<Implementation *>(data)->clients;
+        if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+            const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+            *context = clients.add(static_cast<Implementation *>(data)->number, info->connect_fd);
+        } else if (*context != nullptr) {
+            clients.remove(static_cast<ClientConnection *>(*context));
+        }
+    }
+
+    /** Called with the request line. @return the request's context for the other callbacks. */
+    static void *notifyRequestLine(void *data, const char *target, MHD_Connection *connection)
+    {
+        const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+        auto *client = static_cast<ClientConnection *>(info->socket_context);
+        static_cast<Implementation *>(data)->clients->beginRequest(*client, target);
+        return nullptr; // The library passes each request to receive() first with an empty context.
+    }
+
+    static void notifyCompleted(void *data, MHD_Connection *, void **context, MHD_RequestTerminationCode)
+    {
+        if (*context != nullptr) {
+            static_cast<Implementation *>(data)->clients->endRequest(*static_cast<ClientConnection *>(*context));
+        }
+    }
+
+    static MHD_Result receive(void *data, MHD_Connection *connection, const char *, const char *method, const char *, const char *upload,
+                              std::size_t *uploadSize, void **context)
+    {
+        Implementation &server = *static_cast<Implementation *>(data);
+        if (*context == nullptr) {
+            *context = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+            return server.admit(connection, *static_cast<ClientConnection *>(*context));
+        }
+        ClientConnection &client = *static_cast<ClientConnection *>(*context);
+        if (*uploadSize > 0) {
+            const model::Reason reason = server.clients->append(client, {upload, *uploadSize}, server.limits.maxBodyBytes);
+            *uploadSize = 0;
+            return reason == model::Reason::None ? MHD_YES : MHD_NO;
+        }
+        return server.clients->beginHandling(client) ? server.answer(connection, client, method) : MHD_NO;
+    }
+
+    /** Admits or refuses a request by its headers. */
+    MHD_Result admit(MHD_Connection *connection, ClientConnection &client)
+    {
+        const std::uint64_t size = announcedSize(connection);
+        if (size > limits.maxBodyBytes) {
+            return queue(connection, tooLarge(), quiescing);
+        }
+        const model::Reason reason = clients->beginBody(client, size);
+        return reason == model::Reason::None ? MHD_YES : MHD_NO;
+    }
+
+    HttpResponse tooLarge() const
+    {
+        return refuseAtEdge(model::Reason::BodyTooLarge, "send at most " + std::to_string(limits.maxBodyBytes) + " bytes");
+    }
+
+    /** Runs the handler of a complete request. */
+    MHD_Result answer(MHD_Connection *connection, ClientConnection &client, const char *method)
+    {
+        ++inFlight;
+        ReceivedRequest request;
+        request.connection = connection;
+        request.target = client.target;
+        request.method = method;
+        request.body = client.body.view();
+        HttpResponse response;
+        if (clients->acquireParsing(request.body.size())) {
+            response = dispatch(request);
+            ClientTable::releaseParsing();
+        } else {
+            response = refuseAtEdge(model::Reason::TooManyBodies, {});
+            response.retryAfterMs = refusedRetryMs;
+        }
+        clients->beginSending(client, response.body.size());
+        const MHD_Result result = queue(connection, std::move(response), quiescing);
+        --inFlight;
+        return result;
+    }
+
+    HttpResponse dispatch(ReceivedRequest &request) const
+    {
+        for (const HttpRoute &route : routes) {
+            request.variables.clear();
+            if (::strcasecmp(route.method, request.method.data()) == 0 && matches(route.path, withoutQuery(request.target), request.variables)) {
+                return route.handler(HttpCall(request));
+            }
+        }
+        request.variables.clear();
+        if (limits.defaultHandler) {
+            return limits.defaultHandler(HttpCall(request));
+        }
+        return refuseAtEdge(model::Reason::NotFound, "unknown path or method; see docs/PROTOCOL.md");
+    }
 };
 
-HttpCall::HttpCall(const _u_request &request)
+HttpCall::HttpCall(const ReceivedRequest &request)
     : m_request(request)
 {
 }
 
 std::string_view HttpCall::body() const
 {
-    return {static_cast<const char *>(m_request.binary_body), m_request.binary_body_length};
+    return m_request.body;
 }
 
 std::string_view HttpCall::path() const
 {
-    const std::string_view url = m_request.url_path == nullptr ? "" : m_request.url_path;
-    return url.substr(0, url.find('?'));
+    return withoutQuery(m_request.target);
 }
 
 std::string_view HttpCall::method() const
 {
-    return m_request.http_verb == nullptr ? "" : m_request.http_verb;
+    return m_request.method;
 }
 
 std::string HttpCall::header(const char *name) const
 {
-    const char *value = u_map_get_case(m_request.map_header, name);
-    return value == nullptr ? "" : value;
+    struct Search
+    {
+        const char *name;
+        std::string value;
+        bool found = false;
+    } search{name, {}};
+    MHD_get_connection_values(
+        m_request.connection,
+        MHD_HEADER_KIND,
+        [](void *data, MHD_ValueKind, const char *key, const char *value) {
+            Search &search = *static_cast<Search *>(data);
+            if (::strcasecmp(key, search.name) == 0) { // Repeated headers are a list.
+                search.value.append(search.found ? "," : "").append(value == nullptr ? "" : value);
+                search.found = true;
+            }
+            return MHD_YES;
+        },
+        &search);
+    return std::move(search.value);
 }
 
 std::string HttpCall::parameter(const char *name) const
 {
-    const char *value = u_map_get(m_request.map_url, name);
+    const auto found = m_request.variables.find(name);
+    if (found != m_request.variables.end()) {
+        return found->second;
+    }
+    const char *value = MHD_lookup_connection_value(m_request.connection, MHD_GET_ARGUMENT_KIND, name);
     return value == nullptr ? "" : value;
 }
 
@@ -116,63 +305,47 @@
 std::error_code HttpServer::start(const std::string &address, std::uint16_t port, const HttpLimits &limits, std::vector<HttpRoute> routes)
 {
     Implementation &server = *m_implementation;
-    server.address.sin_family = AF_INET;
-    server.address.sin_port = htons(port);
-    inet_pton(AF_INET, address.c_str(), &server.address.sin_addr);
-    if (ulfius_init_instance(&server.instance, port, &server.address, nullptr) != U_OK) {
-        return TransportError::ListenFailed;
-    }
-    // One byte above the limit distinguishes an oversized body from one of exactly the maximum size.
-    server.instance.max_post_body_size = limits.maxBodyBytes + 1;
-    server.instance.check_utf8 = 0; // The JSON parser rejects invalid UTF-8 with a specific error.
-    server.instance.allowed_post_processor = U_POST_PROCESS_NONE;
-    server.instance.timeout = limits.idleSeconds;
-    for (HttpRoute &route : routes) {
-        server.routes.push_back({std::move(route), limits.maxBodyBytes, &server.inFlight, &server.quiescing});
-        RouteContext &context = server.routes.back();
-        ulfius_add_endpoint_by_val(&server.instance, context.route.method, nullptr, context.route.path, 0, handleRoute, &context);
-    }
-    if (limits.defaultHandler) {
-        server.routes.push_back({{"*", "*", "", limits.defaultHandler}, limits.maxBodyBytes, &server.inFlight, &server.quiescing});
-        ulfius_set_default_endpoint(&server.instance, handleRoute, &server.routes.back());
-    } else {
-        ulfius_set_default_endpoint(&server.instance, handleUnknown, nullptr);
-    }
-    // One thread per connection: a caller that waits for its response blocks only its own thread.
-    const unsigned flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC;
+    sockaddr_in listen{};
+    listen.sin_family = AF_INET;
+    listen.sin_port = htons(port);
+    inet_pton(AF_INET, address.c_str(), &listen.sin_addr);
+    server.limits = limits;
+    server.clients = limits.clients ? limits.clients : makeTable(limits);
+    server.routes = std::move(routes);
+    server.number = port;
+    // One thread per connection: a caller that waits for its response blocks only its own thread. Other designs cost a thread switch more for each request;
+    // docs/design/clients.md. poll() also serves descriptors from 1024 on, which select() doesn't.
+    const unsigned flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC | MHD_USE_POLL;
+    const std::uint64_t connections = server.clients->limits().maxConnections;
     MHD_OptionItem options[] = {
-        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
-        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
-        {MHD_OPTION_SOCK_ADDR, 0, &server.address},
-        {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(limits.maxConnections), nullptr},
+        {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&Implementation::notifyConnection), &server},
+        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&Implementation::notifyRequestLine), &server},
+        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&Implementation::notifyCompleted), &server},
+        {MHD_OPTION_SOCK_ADDR, 0, &listen},
+        {MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(connections + std::min(connections / 4, maxClosingConnections)), nullptr},
         {MHD_OPTION_CONNECTION_TIMEOUT, static_cast<intptr_t>(limits.idleSeconds), nullptr},
         {MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes, nullptr},
         {MHD_OPTION_END, 0, nullptr},
     };
-    if (ulfius_start_framework_with_mhd_options(&server.instance, flags, options) != U_OK) {
-        ulfius_clean_instance(&server.instance);
-        return TransportError::ListenFailed;
-    }
-    server.running = true;
-    return {};
+    server.daemon = MHD_start_daemon(flags, port, nullptr, nullptr, &Implementation::receive, &server, MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    return server.daemon != nullptr ? std::error_code{} : TransportError::ListenFailed;
 }
 
 void HttpServer::quiesce()
 {
     m_implementation->quiescing = true;
-    if (m_implementation->running && m_implementation->listener < 0) {
-        m_implementation->listener = MHD_quiesce_daemon(m_implementation->instance.mhd_daemon);
+    if (m_implementation->daemon != nullptr && m_implementation->listener < 0) {
+        m_implementation->listener = MHD_quiesce_daemon(m_implementation->daemon);
     }
 }
 
 void HttpServer::stop()
 {
-    if (!m_implementation->running) {
+    if (m_implementation->daemon == nullptr) {
         return;
     }
-    m_implementation->running = false;
-    ulfius_stop_framework(&m_implementation->instance);
-    ulfius_clean_instance(&m_implementation->instance);
+    MHD_stop_daemon(m_implementation->daemon);
+    m_implementation->daemon = nullptr;
     if (m_implementation->listener >= 0) {
         ::close(m_implementation->listener);
     }
--- a/Source/transport/httpserver.h
+++ b/Source/transport/httpserver.h
@@ -11,16 +11,17 @@
 #include <system_error>
 #include <vector>
 
-struct _u_request;
-
 namespace rosemaryturn::transport
 {
+class ClientTable;
+struct ReceivedRequest;
+
 /** A received request; valid only while its handler runs. */
 class HttpCall
 {
 public:
-    /** @param request the request structure of the HTTP library. */
-    explicit HttpCall(const _u_request &request);
+    /** @param request the request as received. */
+    explicit HttpCall(const ReceivedRequest &request);
 
     /** @return the body. */
     std::string_view body() const;
@@ -34,7 +35,7 @@
     std::string parameter(const char *name) const;
 
 private:
-    const _u_request &m_request;
+    const ReceivedRequest &m_request;
 };
 
 /** Response of a handler; the body is JSON by default. */
@@ -55,11 +56,12 @@
     std::function<HttpResponse(const HttpCall &)> handler; ///< Runs on the thread of its connection and may block.
 };
 
-/** Limits and defaults that apply to all routes of a server. */
+/** Limits and defaults that apply to all routes of a server. Connections and bodies in total are limited by the client table. */
 struct HttpLimits
 {
     std::uint64_t maxBodyBytes = 1U << 20U;
-    std::uint64_t maxConnections = 1000;
+    std::uint64_t maxConnections = 1000; ///< Open connections, if the server has a client table of its own.
+    std::shared_ptr<ClientTable> clients; ///< Table shared by the servers of a process; if empty, the server has its own.
     unsigned idleSeconds = 60; ///< Idle time after which a connection is closed.
     std::function<HttpResponse(const HttpCall &)> defaultHandler; ///< Handles requests that match no route; if empty, they are refused as not-found.
 };
--- /dev/null
+++ b/Tests/transport/clienttable.cpp
@@ -0,0 +1,220 @@
+#include "transport/clienttable.h"
+#include "testing.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+#include <vector>
+
+using namespace rosemaryturn;
+using namespace rosemaryturn::transport;
+using model::Reason;
+
+namespace
+{
+constexpr std::uint64_t kilobyte = 1024;
+constexpr std::uint64_t longestBody = 256 * kilobyte;
+
+/** A client table with a clock that stands still, and connections whose other ends can be read. */
+struct Fixture
+{
+    std::uint64_t nowMs = 1000;
+    ClientTable table;
+    std::vector<int> sockets;
+
+    explicit Fixture(const ClientLimits &limits)
+        : table(limits, [this] {
+            return nowMs;
+        })
+    {
+    }
+
+    ~Fixture()
+    {
+        for (const int socket : sockets) {
+            ::close(socket);
+        }
+    }
+
+    Fixture(const Fixture &) = delete;
+    Fixture &operator=(const Fixture &) = delete;
+
+    ClientConnection &connect(int server = 1)
+    {
+        std::array<int, 2> pair{};
+        CHECK_EQUAL(0, ::socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()));
+        sockets.insert(sockets.end(), pair.begin(), pair.end());
+        return *table.add(server, pair[0]);
+    }
+
+    Reason send(ClientConnection &connection, std::uint64_t bytes)
+    {
+        if (connection.phase == ClientPhase::Idle) {
+            table.beginRequest(connection, "/");
+            table.beginBody(connection, bytes);
+        }
+        return table.append(connection, std::string(bytes, 'x'), longestBody);
+    }
+
+    /** @return what the other end of the latest connection received. */
+    std::string received() const
+    {
+        std::array<char, 1024> text{};
+        const ssize_t size = ::recv(sockets.back(), text.data(), text.size(), MSG_DONTWAIT);
+        return {text.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0))};
+    }
+};
+
+ClientLimits smallLimits()
+{
+    ClientLimits limits;
+    limits.maxConnections = 3;
+    limits.maxBodyBytes = 400 * kilobyte;
+    return limits;
+}
+}
+
+// Guards against limits that ordinary clients of the smallest hosts reach.
+TEST_CASE(ClientTable, LimitsFollowFromMemoryAndDescriptors)
+{
+    CHECK_EQUAL(std::uint64_t{480}, deriveClientLimits(120, 3075).maxConnections);
+    CHECK_EQUAL(std::uint64_t{256}, deriveClientLimits(120, 512).maxConnections);
+    CHECK(deriveClientLimits(256, 3075).maxConnections >= 600);
+    CHECK(deriveClientLimits(256, 3075).maxBodyBytes >= 8 * 5 * kilobyte * kilobyte);
+    CHECK(deriveClientLimits(120, 3075).maxBodyBytes >= 60 * longestBody);
+}
+
+// Guards against a body that is charged only once it is complete, or not released.
+TEST_CASE(ClientTable, BodiesAreChargedFromTheFirstByte)
+{
+    Fixture fixture(smallLimits());
+    ClientConnection &connection = fixture.connect();
+    CHECK(fixture.send(connection, 1) == Reason::None);
+    CHECK_EQUAL(std::uint64_t{1}, fixture.table.usage().bodyBytes);
+    CHECK(fixture.send(connection, 20 * kilobyte) == Reason::None);
+    CHECK_EQUAL(20 * kilobyte + 1, fixture.table.usage().bodyBytes);
+    CHECK_EQUAL(std::size_t{20 * kilobyte + 1}, connection.body.view().size());
+    CHECK(fixture.table.beginHandling(connection));
+    fixture.table.beginSending(connection, 10);
+    CHECK_EQUAL(std::uint64_t{10}, fixture.table.usage().bodyBytes);
+    fixture.table.endRequest(connection);
+    CHECK_EQUAL(std::uint64_t{0}, fixture.table.usage().bodyBytes);
+}
+
+// Guards against a body of unknown size that is read to its end although it is above the limit.
+TEST_CASE(ClientTable, ABodyAboveTheLimitIsCutOff)
+{
+    Fixture fixture(smallLimits());
+    ClientConnection &connection = fixture.connect();
+    CHECK(fixture.send(connection, longestBody) == Reason::None);
+    CHECK(fixture.send(connection, 1) == Reason::BodyTooLarge);
+    CHECK_EQUAL(std::uint64_t{0}, fixture.table.usage().bodyBytes);
+    CHECK(!fixture.table.beginHandling(connection));
+    CHECK(fixture.received().starts_with("HTTP/1.1 413 "));
+}
+
+// Guards against unfinished bodies that keep others out: the one without progress for longest goes, and its request never runs.
+TEST_CASE(ClientTable, AtTheBudgetTheOldestIdleBodyIsClosed)
+{
+    Fixture fixture(smallLimits());
+    ClientConnection &older = fixture.connect();
+    CHECK(fixture.send(older, 150 * kilobyte) == Reason::None);
+    fixture.nowMs += 500;
+    ClientConnection &newer = fixture.connect();
+    CHECK(fixture.send(newer, 150 * kilobyte) == Reason::None);
+    fixture.nowMs += 2000;
+    ClientConnection &third = fixture.connect();
+    CHECK(fixture.send(third, 100 * kilobyte) == Reason::None);
+    CHECK(older.closed);
+    CHECK(!newer.closed);
+    CHECK(!fixture.table.beginHandling(older));
+}
+
+// Guards against a crowd of large bodies, all of which make progress or are being handled, that keeps small requests out.
+TEST_CASE(ClientTable, ASmallBodyIsAdmittedBesideLargeOnes)
+{
+    Fixture fixture(smallLimits());
+    ClientConnection &handled = fixture.connect();
+    CHECK(fixture.send(handled, 200 * kilobyte) == Reason::None);
+    CHECK(fixture.table.beginHandling(handled));
+    ClientConnection &active = fixture.connect();
+    CHECK(fixture.send(active, 150 * kilobyte) == Reason::None);
+    ClientConnection &last = fixture.connect();
+    CHECK(fixture.send(last, 100 * kilobyte) == Reason::TooManyBodies);
+    CHECK(fixture.received().starts_with("HTTP/1.1 503 "));
+    CHECK(!active.closed);
+    for (int i = 0; i < 3; ++i) {
+        ClientConnection &small = fixture.connect();
+        CHECK(fixture.send(small, 16 * kilobyte) == Reason::None);
+        CHECK(fixture.table.beginHandling(small));
+        fixture.table.remove(&small);
+    }
+    CHECK(!handled.closed);
+}
+
+// Guards against connections that keep a new caller out, and against closing one whose request runs or that belongs to another server.
+TEST_CASE(ClientTable, AtTheConnectionLimitIncompleteRequestsGoFirst)
+{
+    Fixture fixture(smallLimits());
+    ClientConnection &readiness = fixture.connect(2);
+    ClientConnection &idle = fixture.connect();
+    ClientConnection &incomplete = fixture.connect();
+    fixture.table.beginRequest(incomplete, "/");
+    fixture.nowMs += 2000;
+    ClientConnection &next = fixture.connect();
+    CHECK(incomplete.closed);
+    CHECK(!idle.closed);
+    fixture.table.beginRequest(next, "/");
+    CHECK(fixture.table.beginHandling(next));
+    ClientConnection &last = fixture.connect();
+    CHECK(idle.closed);
+    CHECK(!next.closed);
+    CHECK(!readiness.closed);
+    CHECK(!last.closed);
+    fixture.table.beginRequest(last, "/");
+    CHECK(fixture.table.beginHandling(last));
+    const ClientConnection &refused = fixture.connect();
+    CHECK(refused.closed);
+    CHECK(fixture.received().starts_with("HTTP/1.1 503 "));
+    CHECK_EQUAL(std::uint64_t{3}, fixture.table.usage().connections);
+}
+
+// Guards against a client that sends a byte now and then, and against closing idle connections between requests.
+TEST_CASE(ClientTable, ARequestThatTakesTooLongIsClosed)
+{
+    ClientLimits limits = smallLimits();
+    limits.requestMs = 10000;
+    Fixture fixture(limits);
+    const ClientConnection &idle = fixture.connect();
+    ClientConnection &slow = fixture.connect();
+    for (int second = 0; second < 10; ++second) {
+        CHECK(fixture.send(slow, 1) == Reason::None);
+        fixture.nowMs += 1000;
+        fixture.table.expire();
+        CHECK(!slow.closed);
+    }
+    fixture.nowMs += 1000;
+    fixture.table.expire();
+    CHECK(slow.closed);
+    CHECK(fixture.received().starts_with("HTTP/1.1 503 "));
+    CHECK(!idle.closed);
+}
+
+// Guards against parsing many large bodies at once, and against a body that can never be parsed.
+TEST_CASE(ClientTable, LargeBodiesAreParsedWithinTheirBudget)
+{
+    ClientLimits limits;
+    limits.maxParseBytes = 1;
+    ClientTable table(limits, [] {
+        return std::uint64_t{0};
+    });
+    CHECK(table.acquireParsing(longestBody));
+    CHECK(table.usage().parseBytes > longestBody);
+    ClientTable::releaseParsing();
+    ClientTable::releaseParsing();
+    CHECK_EQUAL(std::uint64_t{0}, table.usage().parseBytes);
+    CHECK(table.acquireParsing(100));
+    CHECK_EQUAL(std::uint64_t{0}, table.usage().parseBytes);
+}
