--- a/Source/model/reason.cpp
+++ b/Source/model/reason.cpp
@@ -81,6 +81,9 @@
                429,
                Changed,
                "a gang or a single task of the job needs more than the limit of its team; nothing was run"},
+    ReasonInfo{Reason::TooManyBodies, "too-many-bodies", 503, Later, "this host has no memory for another body; nothing was run"},
+    ReasonInfo{Reason::TooManyConnections, "too-many-connections", 503, Later, "this host has too many open connections; nothing was run"},
+    ReasonInfo{Reason::RequestTooSlow, "request-too-slow", 503, Later, "the request was not received in time; nothing was run"},
 };
 
 class ReasonCategory final : public std::error_category
--- a/Source/model/reason.h
+++ b/Source/model/reason.h
@@ -72,6 +72,10 @@
     OtherTeam,
     InvalidTeams,
     BeyondTeamLimit,
+    // Refused by the HTTP server before the handler runs.
+    TooManyBodies,
+    TooManyConnections,
+    RequestTooSlow,
 };
 
 /** What the caller of a refused request may do. */
