policy: Learn the time and delay of each adviser from its answers

Cause: the backlog of an adviser was a sum of estimates from the plan that no answer corrected, and its network delay took in the time that its calls had waited for each other.

Change: Source/policy/advicebudget. An answer to a call that met an idle host teaches the network delay, one to a call that waited for the one before teaches the time of a call relative to the plan; the backlog is reckoned anew from the open calls at each answer. The choice of the host uses all three, so that a slow host gets fewer and shorter calls. The order is the same as before for hosts that keep to the plan.

Ruled out: correcting the backlog at an unanswered call, since a host that fails fast would look free and attract further calls.

Not measured on a site.

--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -274,7 +274,7 @@
     }
     std::uint64_t busiestMs = 0;
     for (const Adviser &adviser : leader.advisers) {
-        busiestMs = std::max(busiestMs, adviser.busyUntilMs - std::min(adviser.busyUntilMs, now.monotonicMs));
+        busiestMs = std::max(busiestMs, adviser.load.busyUntilMs - std::min(adviser.load.busyUntilMs, now.monotonicMs));
     }
     output.decisions.push_back(
         {"load", std::to_string(leader.term), detail + " oldestMs=" + std::to_string(oldestMs) + " adviceBacklogMs=" + std::to_string(busiestMs)});
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -2,6 +2,7 @@
 
 #include "job/jobs.h"
 #include "model/reason.h"
+#include "policy/advicebudget.h"
 #include "policy/waitingorder.h"
 #include "upstream/upstreamstate.h"
 #include "wire/codec.h"
@@ -222,8 +223,7 @@
 struct Adviser
 {
     std::string host;
-    std::uint64_t busyUntilMs = 0; ///< Estimated time at which the service has processed the requests sent through it.
-    double networkDelayMs = 0; ///< Smoothed response time beyond the service's own processing time.
+    policy::AdviceHost load;
 };
 
 /** A pending request to the advice service. */
@@ -232,7 +232,7 @@
     std::string step;
     std::string queue;
     std::string host; ///< Host that sends the request.
-    std::uint64_t costMs = 0; ///< Estimated time to the reply without network delay.
+    double costMs = 0; ///< Time that the service takes for it by the plan.
     std::vector<std::uint32_t> upstreams;
     std::uint64_t sentMs = 0;
     std::uint64_t timeoutMs = 0;
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <optional>
 #include <utility>
 
 namespace rosemaryturn::deployment
@@ -23,10 +23,6 @@
 constexpr double cheapRequestMs = 120;
 /** Minimum number of upstreams in a cheap request. */
 constexpr std::size_t minUpstreamsPerCheapRequest = 16;
-/** Requests that take longer than this go through some of the advisers only. */
-constexpr double longRequestMs = 40;
-/** An adviser is busy if its pending requests take longer than this. */
-constexpr std::uint64_t busyAdviserMs = 200;
 /** Added to the estimated time of a reply for its timeout: the round trip through another host, and its queue. */
 constexpr std::uint64_t adviceTimeoutMarginMs = 1500;
 /** Delay before an unanswered request is repeated. */
@@ -111,32 +107,21 @@
     return requested;
 }
 
-/** @return the host through which the reply is expected first. */
-Adviser &fastestAdviser(Leader &leader, double costMs, const Now &now)
+std::vector<policy::AdviceHost> adviceHosts(const Leader &leader)
 {
-    // Long requests skip the fastest third of the advisers while there are short ones, which would queue behind them.
-    std::vector<Adviser *> order;
-    for (Adviser &adviser : leader.advisers) {
-        order.push_back(&adviser);
+    std::vector<policy::AdviceHost> hosts;
+    hosts.reserve(leader.advisers.size());
+    for (const Adviser &adviser : leader.advisers) {
+        hosts.push_back(adviser.load);
     }
-    std::sort(order.begin(), order.end(), [](const Adviser *a, const Adviser *b) {
-        return std::tuple(a->networkDelayMs, a->host) < std::tuple(b->networkDelayMs, b->host);
-    });
-    const std::size_t skipped = costMs > longRequestMs && leader.hasShortRequests ? order.size() / 3 : 0;
-    order.erase(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(skipped));
-    const auto readyMs = [&](const Adviser &adviser) {
-        return static_cast<double>(std::max(adviser.busyUntilMs, now.monotonicMs)) + costMs + adviser.networkDelayMs;
-    };
-    return **std::min_element(order.begin(), order.end(), [&readyMs](const Adviser *a, const Adviser *b) {
-        return readyMs(*a) < readyMs(*b);
-    });
+    return hosts;
 }
 
 /** @return whether most advisers are busy. Steps that can't meet their objective then request no advice. */
 bool advisersBusy(const Leader &leader, const Now &now)
 {
     const auto busy = std::count_if(leader.advisers.begin(), leader.advisers.end(), [&now](const Adviser &adviser) {
-        return adviser.busyUntilMs > now.monotonicMs + busyAdviserMs;
+        return adviser.load.busyUntilMs > now.monotonicMs + policy::busyAdviceHostMs;
     });
     return 2 * static_cast<std::size_t>(busy) > leader.advisers.size();
 }
@@ -144,20 +129,24 @@
 /** Sends a request through the adviser that is expected to answer first. @param requested the upstreams to name; nothing is sent if it is empty. */
 void sendAdviceRequest(Leader &leader, const PlacementAttempt &attempt, std::span<PlacementCandidate *const> requested, const Now &now, LeaderOutput &output)
 {
-    if (requested.empty() || leader.advisers.empty()) {
+    if (requested.empty()) {
         return;
     }
-    Advice &advice = attempt.advice;
     const double costMs = attempt.queue.adviceMs + attempt.queue.advicePerUpstreamMs * static_cast<double>(requested.size());
-    Adviser &adviser = fastestAdviser(leader, costMs, now);
-    adviser.busyUntilMs = std::max(adviser.busyUntilMs, now.monotonicMs) + static_cast<std::uint64_t>(std::ceil(costMs));
+    const std::optional<std::size_t> chosen = policy::chooseAdviceHost(adviceHosts(leader), costMs, leader.hasShortRequests, now.monotonicMs);
+    if (!chosen) {
+        return;
+    }
+    Advice &advice = attempt.advice;
+    Adviser &adviser = leader.advisers[*chosen];
+    adviser.load.busyUntilMs = std::max(adviser.load.busyUntilMs, now.monotonicMs) + static_cast<std::uint64_t>(std::ceil(adviser.load.costFactor * costMs));
     AdviceCall call;
     call.id = leader.nextCall++;
     call.host = adviser.host;
     call.step = attempt.waiting.name;
     call.costMs = static_cast<std::uint64_t>(std::ceil(costMs));
-    call.timeoutMs = adviser.busyUntilMs - now.monotonicMs + adviceTimeoutMarginMs;
-    PendingAdvice open{call.step, attempt.queue.name, adviser.host, adviser.busyUntilMs - now.monotonicMs, {}, now.monotonicMs, call.timeoutMs};
+    call.timeoutMs = adviser.load.busyUntilMs - now.monotonicMs + adviceTimeoutMarginMs;
+    PendingAdvice open{call.step, attempt.queue.name, adviser.host, costMs, {}, now.monotonicMs, call.timeoutMs};
     for (const PlacementCandidate *candidate : requested) {
         call.upstreams.push_back(candidate->state->registration.id);
         open.upstreams.push_back(candidate->state->registration.number);
@@ -255,7 +244,7 @@
 void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan)
 {
     leader.hasShortRequests = std::any_of(plan.queues.begin(), plan.queues.end(), [](const auto &queue) {
-        return queue->advised && queue->adviceMs + queue->advicePerUpstreamMs * static_cast<double>(minUpstreamsPerCheapRequest) <= longRequestMs;
+        return queue->advised && queue->adviceMs + queue->advicePerUpstreamMs * static_cast<double>(minUpstreamsPerCheapRequest) <= policy::longAdviceCallMs;
     });
 }
 
@@ -265,6 +254,27 @@
         return entry.second.pendingCalls.empty() && entry.second.lastUsedMs + adviceRetentionMs < now.monotonicMs;
     });
 }
+
+namespace
+{
+/** Learns from a reply how long requests through its host take. */
+void learnFromReply(Leader &leader, const PendingAdvice &answered, const Now &now)
+{
+    const auto adviser = std::find_if(leader.advisers.begin(), leader.advisers.end(), [&answered](const Adviser &other) {
+        return other.host == answered.host;
+    });
+    if (adviser == leader.advisers.end()) {
+        return;
+    }
+    std::vector<policy::AdviceTiming> others;
+    for (const auto &[id, open] : leader.pendingAdvice) {
+        if (open.host == answered.host) {
+            others.push_back({open.sentMs, open.costMs});
+        }
+    }
+    policy::recordAdviceReply(adviser->load, {answered.sentMs, answered.costMs}, others, now.monotonicMs);
+}
+}
 }
 
 void handleAdviceReply(Leader &leader, const AdviceReply &reply, const Now &now)
@@ -275,12 +285,8 @@
     }
     const PendingAdvice open = std::move(found->second);
     leader.pendingAdvice.erase(found);
-    for (Adviser &adviser : leader.advisers) {
-        if (adviser.host == open.host && reply.answered) {
-            constexpr double weight = 0.2;
-            const double delayMs = static_cast<double>(now.monotonicMs - open.sentMs) - static_cast<double>(open.costMs);
-            adviser.networkDelayMs += weight * (std::max(delayMs, 0.0) - adviser.networkDelayMs);
-        }
+    if (reply.answered) {
+        internal::learnFromReply(leader, open, now);
     }
     const auto entry = leader.advice.find(open.step);
     if (entry == leader.advice.end()) {
@@ -326,7 +332,7 @@
             return adviser.host == host;
         });
         constexpr double otherRegionMs = 60; // Initial estimate for another region.
-        advisers.push_back(known == leader.advisers.end() ? Adviser{host, 0, host.empty() ? 0 : otherRegionMs} : *known);
+        advisers.push_back(known == leader.advisers.end() ? Adviser{host, {0, host.empty() ? 0 : otherRegionMs, 1, 0}} : *known);
     }
     leader.advisers = std::move(advisers);
 }
--- /dev/null
+++ b/Source/policy/advicebudget.cpp
@@ -0,0 +1,71 @@
+#include "policy/advicebudget.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+#include <vector>
+
+namespace rosemaryturn::policy
+{
+namespace
+{
+/** Weight of a new measurement in a smoothed value. */
+constexpr double smoothing = 0.2;
+/** Bounds of AdviceHost::costFactor: single replies that were held up must not exclude a host. */
+constexpr double minCostFactor = 0.5;
+constexpr double maxCostFactor = 8;
+
+/** @return the hosts that a call may go through, in the order of their network delay. */
+std::vector<std::size_t> usableHosts(std::span<const AdviceHost> hosts, double costMs, bool hasShortCalls)
+{
+    std::vector<std::size_t> order(hosts.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    if (costMs > longAdviceCallMs && hasShortCalls) {
+        std::sort(order.begin(), order.end(), [hosts](std::size_t a, std::size_t b) {
+            return std::tuple(hosts[a].networkDelayMs, a) < std::tuple(hosts[b].networkDelayMs, b);
+        });
+        order.erase(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(order.size() / 3));
+    }
+    return order;
+}
+}
+
+void recordAdviceReply(AdviceHost &host, const AdviceTiming &answered, std::span<const AdviceTiming> others, std::uint64_t nowMs)
+{
+    const auto now = static_cast<double>(nowMs);
+    const auto previousMs = static_cast<double>(host.answeredMs);
+    const double arrivedMs = static_cast<double>(answered.sentMs) + host.networkDelayMs;
+    if (previousMs >= arrivedMs) {
+        // The time of a short call is lost in the network delay's variation.
+        if (answered.costMs > longAdviceCallMs) {
+            const double measured = std::clamp((now - previousMs) / answered.costMs, minCostFactor, maxCostFactor);
+            host.costFactor += smoothing * (measured - host.costFactor);
+        }
+    } else {
+        const double delayMs = now - static_cast<double>(answered.sentMs) - host.costFactor * answered.costMs;
+        host.networkDelayMs += smoothing * (std::max(delayMs, 0.0) - host.networkDelayMs);
+    }
+    host.answeredMs = nowMs;
+    double busyUntilMs = now - host.networkDelayMs; // The reply was on its way for that long.
+    for (const AdviceTiming &other : others) {
+        busyUntilMs = std::max(busyUntilMs, static_cast<double>(other.sentMs)) + host.costFactor * other.costMs;
+    }
+    host.busyUntilMs = static_cast<std::uint64_t>(std::max(busyUntilMs, 0.0));
+}
+
+double expectedReplyMs(const AdviceHost &host, double costMs, std::uint64_t nowMs)
+{
+    const std::uint64_t backlogMs = std::max(host.busyUntilMs, nowMs) - nowMs;
+    return static_cast<double>(backlogMs) + host.costFactor * costMs + host.networkDelayMs;
+}
+
+std::optional<std::size_t> chooseAdviceHost(std::span<const AdviceHost> hosts, double costMs, bool hasShortCalls, std::uint64_t nowMs)
+{
+    const std::vector<std::size_t> order = usableHosts(hosts, costMs, hasShortCalls);
+    const auto best = std::min_element(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return std::tuple(expectedReplyMs(hosts[a], costMs, nowMs), hosts[a].networkDelayMs, a)
+            < std::tuple(expectedReplyMs(hosts[b], costMs, nowMs), hosts[b].networkDelayMs, b);
+    });
+    return best == order.end() ? std::nullopt : std::optional(*best);
+}
+}
