policy: Let requests for advice wait at the leader for a free adviser

Cause: each step's request was sent at once and queued at its adviser, however long that had requests ahead. Under load the queues were seconds long, in the order in which the jobs had come: urgent steps waited behind others, and after a restart of the control hosts the first pass sent a request for each step of the backlog. Tickets of 2 s answered questions that were seconds old.

Change: while most advisers have more than 200 ms ahead of them, a request is made only through one that has less, and the step ranked first makes it. A step without tickets that waits for an adviser isn't tried and counts as no failed attempt of its pass. A request for a job that is still being recorded yields to steps that wait. Nothing changes while at most half of the advisers are busy. Counters of named upstreams, renewals and held steps by reason; the line advice-held once a second at most.

Ruled out: holding every submission while most advisers are busy, which left advisers unused (Leader.LongAdviceRequestsUseAllAdvisersWhileNoneIsShort).

Not measured on a site.

--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -47,6 +47,12 @@
     appendMetric(text, "looks_unanswered_total", counters.pollsUnanswered);
     appendMetric(text, "advice_calls_total", counters.adviceCalls);
     appendMetric(text, "advice_unanswered_total", counters.adviceUnanswered);
+    appendMetric(text, "advice_upstreams_total", counters.adviceUpstreams);
+    appendMetric(text, "advice_renewals_total", counters.adviceRenewals);
+    for (std::size_t hold = 1; hold < policy::adviceHolds; ++hold) {
+        const std::string_view reason = policy::nameOf(static_cast<policy::AdviceHold>(hold));
+        appendMetric(text, "advice_held_total{reason=\"" + std::string(reason) + "\"}", counters.adviceHeld.at(hold));
+    }
     appendMetric(text, "ends_done_total", counters.endsDone);
     appendMetric(text, "ends_failed_total", counters.endsFailed);
     appendMetric(text, "ends_stopped_total", counters.endsStopped);
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -150,6 +150,7 @@
     leader.advisers = std::move(advisers);
     leader.nextCall = nextCall;
     leader.counters = counters;
+    leader.reportedAdvice = counters;
     leader.active = true;
     leader.term = term;
     leader.leadingSinceMs = now.monotonicMs;
@@ -305,6 +306,7 @@
         handleAdviceReply(leader, unanswered, now);
     }
     reportLoad(leader, now, output);
+    internal::reportHeldAdvice(leader, now, output);
     if (cleanupDue) {
         internal::expireUnusedAdvice(leader, now);
         forgetJobs(leader, state, now, output);
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -202,6 +202,7 @@
     std::uint64_t lastUsedMs = 0; ///< Time of the latest use.
     std::uint64_t answeredMs = 0; ///< Time of the latest reply.
     std::uint64_t ticketsValidUntilMs = 0; ///< Time at which the last ticket expires.
+    policy::AdviceHold hold = policy::AdviceHold::None; ///< Why the step couldn't make its latest request.
 };
 
 /** A step with tasks to place. */
@@ -277,6 +278,9 @@
     std::uint64_t pollsUnanswered = 0;
     std::uint64_t adviceCalls = 0;
     std::uint64_t adviceUnanswered = 0;
+    std::uint64_t adviceUpstreams = 0; ///< Upstreams named in requests for advice.
+    std::uint64_t adviceRenewals = 0; ///< Those of them that were known to be allowed.
+    std::array<std::uint64_t, policy::adviceHolds> adviceHeld{}; ///< Steps that had to wait with their request, by policy::AdviceHold.
     std::uint64_t endsDone = 0;
     std::uint64_t endsFailed = 0;
     std::uint64_t endsStopped = 0;
@@ -319,6 +323,8 @@
     std::map<std::uint64_t, PendingAdvice> pendingAdvice;
     std::unordered_map<std::string, Advice> advice; ///< By step name; also for steps whose job isn't committed yet.
     std::vector<Adviser> advisers;
+    policy::AdviceRoom adviceRoom; ///< What the advisers can take in this placement pass.
+    bool stepsAwaitAdviser = false; ///< Steps had to wait with their requests in the latest placement pass, as all advisers were busy.
     bool hasShortRequests = false; ///< Whether the plan has a queue whose requests to the advice service are short.
     std::unordered_map<std::string, std::vector<Token>> pendingSubmits; ///< Requests that wait for a job's record, by id of the job.
     std::uint64_t proposedBytes = 0; ///< Memory for the jobs in pendingSubmits, whose records aren't committed.
@@ -337,6 +343,8 @@
     bool placementNeeded = false; ///< A change since the latest pass may let a step be placed.
     std::uint64_t nextCleanupMs = 0;
     std::uint64_t nextLoadReportMs = 0;
+    std::uint64_t nextAdviceReportMs = 0;
+    LeaderCounters reportedAdvice; ///< Counters at the latest report of the requests for advice.
     std::uint64_t nextDueScanMs = 0;
     std::uint64_t nextWaitReportMs = 0; ///< Earliest time of the next report of a step that wasn't placed.
     LeaderCounters counters;
@@ -424,6 +432,7 @@
 void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan);
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output);
 void expireUnusedAdvice(Leader &leader, const Now &now);
+void reportHeldAdvice(Leader &leader, const Now &now, LeaderOutput &output);
 void placeWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 std::string stepName(const std::string &job, std::uint32_t occurrence, std::uint32_t step);
 bool mayPlaceOn(const Leader &leader, const upstream::UpstreamState &upstreamState, const Now &now);
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -117,13 +117,28 @@
     return hosts;
 }
 
-/** @return whether most advisers are busy. Steps that can't meet their objective then request no advice. */
-bool advisersBusy(const Leader &leader, const Now &now)
+/** Records why a step couldn't make its request; a step counts once for each reason. */
+void recordHold(Leader &leader, Advice &advice, policy::AdviceHold hold)
 {
-    const auto busy = std::count_if(leader.advisers.begin(), leader.advisers.end(), [&now](const Adviser &adviser) {
-        return adviser.load.busyUntilMs > now.monotonicMs + policy::busyAdviceHostMs;
-    });
-    return 2 * static_cast<std::size_t>(busy) > leader.advisers.size();
+    if (hold != policy::AdviceHold::None && hold != advice.hold) {
+        ++leader.counters.adviceHeld.at(static_cast<std::size_t>(hold));
+    }
+    advice.hold = hold;
+}
+
+/** @return why a step has to wait with a request. @param submission whether its job isn't recorded yet. */
+policy::AdviceHold holdFor(const Leader &leader, const PlacementAttempt &attempt, bool submission, const Now &now)
+{
+    policy::AdviceAsk ask;
+    const std::size_t named = isCheapRequest(attempt.queue, attempt.candidates.size()) ? minUpstreamsPerCheapRequest : minUpstreamsPerRequest;
+    ask.costMs = attempt.queue.adviceMs + attempt.queue.advicePerUpstreamMs * static_cast<double>(named);
+    ask.durationMs = attempt.step.estimatedMs;
+    ask.submission = submission && leader.stepsAwaitAdviser;
+    ask.timeliness = submission ? policy::Timeliness::InTime : policy::timelinessOf(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs));
+    ask.hasTickets = now.monotonicMs < attempt.advice.ticketsValidUntilMs;
+    ask.hasOpenCall = !attempt.advice.pendingCalls.empty();
+    ask.teamAtLimit = attempt.teamAtLimit;
+    return policy::adviceHoldFor(ask, leader.adviceRoom, attempt.claims == nullptr ? policy::AdviceClaims{} : *attempt.claims);
 }
 
 /** Sends a request through the adviser that is expected to answer first. @param requested the upstreams to name; nothing is sent if it is empty. */
@@ -147,7 +162,9 @@
     call.costMs = static_cast<std::uint64_t>(std::ceil(costMs));
     call.timeoutMs = adviser.load.busyUntilMs - now.monotonicMs + adviceTimeoutMarginMs;
     PendingAdvice open{call.step, attempt.queue.name, adviser.host, costMs, {}, now.monotonicMs, call.timeoutMs};
+    leader.counters.adviceUpstreams += requested.size();
     for (const PlacementCandidate *candidate : requested) {
+        leader.counters.adviceRenewals += advice.allowed.count(candidate->state->registration.number);
         call.upstreams.push_back(candidate->state->registration.id);
         open.upstreams.push_back(candidate->state->registration.number);
     }
@@ -156,6 +173,7 @@
     leader.pendingAdvice.emplace(call.id, std::move(open));
     ++leader.counters.adviceCalls;
     output.advice.push_back(std::move(call));
+    updateAdviceRoom(leader, now);
 }
 
 /** @return the upstreams that the pending requests of a step name. */
@@ -207,6 +225,77 @@
 }
 }
 
+void updateAdviceRoom(Leader &leader, const Now &now)
+{
+    leader.adviceRoom = policy::adviceRoom(adviceHosts(leader), leader.hasShortRequests, now.monotonicMs);
+}
+
+bool holdAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now)
+{
+    recordHold(leader, attempt.advice, holdFor(leader, attempt, false, now));
+    leader.stepsAwaitAdviser = leader.stepsAwaitAdviser || attempt.advice.hold == policy::AdviceHold::Hosts;
+    return attempt.advice.hold != policy::AdviceHold::None;
+}
+
+void updateClaims(ServiceCandidates &service)
+{
+    service.claims.free = {};
+    service.claims.used = {};
+    for (const PlacementCandidate &candidate : service.candidates) {
+        service.claims.free = service.claims.free + upstream::freeCapacity(*candidate.state);
+        service.claims.used = service.claims.used + candidate.state->used;
+    }
+}
+
+void claimCapacity(const PlacementAttempt &attempt, const Now &now, policy::AdviceClaims &claims)
+{
+    const std::size_t unplaced = attempt.waiting.unplaced.size();
+    const Advice &advice = attempt.advice;
+    if (unplaced == 0 || !attempt.queue.advised
+        || policy::timelinessOf(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate) {
+        return;
+    }
+    claims.inTimeWaits = true;
+    if (advice.pendingCalls.empty() && now.monotonicMs >= advice.ticketsValidUntilMs) {
+        return;
+    }
+    const model::Resources need = resourcesPerTask(attempt.step);
+    claims.claimed.cpuMillis += need.cpuMillis * unplaced;
+    claims.claimed.memoryMb += need.memoryMb * unplaced;
+    claims.claimed.accelerators += need.accelerators * unplaced;
+}
+
+void reportHeldAdvice(Leader &leader, const Now &now, LeaderOutput &output)
+{
+    constexpr std::uint64_t reportIntervalMs = 1000;
+    if (now.monotonicMs < leader.nextAdviceReportMs) {
+        return;
+    }
+    leader.nextAdviceReportMs = now.monotonicMs + reportIntervalMs;
+    std::array<std::size_t, policy::adviceHolds> held{};
+    for (const auto &[ref, waiting] : leader.waiting) {
+        const auto advice = leader.advice.find(waiting.name);
+        if (advice != leader.advice.end() && !waiting.unplaced.empty()) {
+            ++held.at(static_cast<std::size_t>(advice->second.hold));
+        }
+    }
+    const LeaderCounters before = std::exchange(leader.reportedAdvice, leader.counters);
+    std::string detail;
+    for (std::size_t hold = 1; hold < held.size(); ++hold) {
+        if (held[hold] > 0) {
+            detail += " " + std::string(policy::nameOf(static_cast<policy::AdviceHold>(hold))) + "=" + std::to_string(held[hold]);
+        }
+    }
+    if (!detail.empty()) {
+        output.decisions.push_back({"advice-held",
+                                    std::to_string(leader.term),
+                                    "advisers=" + std::to_string(leader.adviceRoom.hosts) + " busy=" + std::to_string(leader.adviceRoom.busy)
+                                        + " calls=" + std::to_string(leader.counters.adviceCalls - before.adviceCalls)
+                                        + " named=" + std::to_string(leader.counters.adviceUpstreams - before.adviceUpstreams)
+                                        + " renewed=" + std::to_string(leader.counters.adviceRenewals - before.adviceRenewals) + detail});
+    }
+}
+
 void requestAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output)
 {
     if (attempt.advice.pendingCalls.empty() && now.monotonicMs >= attempt.advice.nextRequestMs) {
@@ -219,11 +308,9 @@
     if (now.monotonicMs < attempt.advice.nextRequestMs) {
         return;
     }
-    const bool tooLate = policy::timelinessOf(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
-    if ((tooLate || !attempt.advice.pendingCalls.empty()) && advisersBusy(leader, now)) {
-        return;
+    if (!holdAdvice(leader, attempt, now)) {
+        requestAdviceWithCapacity(leader, attempt, now, output);
     }
-    requestAdviceWithCapacity(leader, attempt, now, output);
 }
 
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output)
@@ -231,12 +318,19 @@
     if (!queue.advised || job.repeatCount > 0) {
         return;
     }
+    updateAdviceRoom(leader, now);
     CandidatesByService candidatesByService = gatherCandidates(leader, now);
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         if (job.steps[step]->after.empty()) {
             WaitingStep waiting;
             waiting.name = stepName(job.id, 0, step);
-            requestAdvice(leader, {waiting, *job.steps[step], queue, leader.advice[waiting.name], candidatesByService[queue.service].candidates}, now, output);
+            Advice &advice = leader.advice[waiting.name];
+            advice.lastUsedMs = now.monotonicMs;
+            const PlacementAttempt attempt{waiting, *job.steps[step], queue, advice, candidatesByService[queue.service].candidates};
+            recordHold(leader, advice, holdFor(leader, attempt, true, now));
+            if (advice.hold == policy::AdviceHold::None) {
+                requestAdvice(leader, attempt, now, output);
+            }
         }
     }
 }
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -379,16 +379,25 @@
     ServiceCandidates &serviceCandidates = candidatesByService[queue->service];
     Advice &advice = leader.advice[waiting.name];
     advice.lastUsedMs = now.monotonicMs;
+    const wire::StepSpecT &step = *job.spec.steps[waiting.ref.step];
+    PlacementAttempt attempt{waiting, step, *queue, advice, serviceCandidates.candidates};
+    attempt.claims = &serviceCandidates.claims;
     // Without a valid ticket an attempt fails until the reply arrives. A backlog whose tickets expired must not use up the pass.
     const bool ticketless = queue->advised && now.monotonicMs + ticketMarginMs >= advice.ticketsValidUntilMs;
     const bool awaitsAdvice = ticketless && !advice.pendingCalls.empty();
-    if (awaitsAdvice || (now.monotonicMs < waiting.nextAttemptMs && advice.answeredMs < leader.previousPlacementMs)) {
+    const bool wasHeld = advice.hold != policy::AdviceHold::None;
+    const bool held = (wasHeld || ticketless) && !awaitsAdvice && holdAdvice(leader, attempt, now);
+    // A step that had to wait with its request makes it as soon as it may, in the order of the ranks.
+    const bool paused = now.monotonicMs < waiting.nextAttemptMs && advice.answeredMs < leader.previousPlacementMs && (held || !wasHeld);
+    if (awaitsAdvice || (ticketless && held) || paused) {
         leader.placementNeeded = leader.placementNeeded || !awaitsAdvice;
+        if (advice.hold == policy::AdviceHold::TooLate) {
+            waiting.reserved.clear();
+        }
         markReserved(waiting, serviceCandidates.candidates);
+        claimCapacity(attempt, now, serviceCandidates.claims);
         return false;
     }
-    const wire::StepSpecT &step = *job.spec.steps[waiting.ref.step];
-    PlacementAttempt attempt{waiting, step, *queue, advice, serviceCandidates.candidates};
     if (waiting.crashes > 0) {
         limitAttempt(leader, state, attempt, now);
     }
@@ -408,7 +417,9 @@
     tryPlace(leader, state, attempt, now, record, output);
     if (waiting.unplaced.size() < before) {
         serviceCandidates.hasSpareCapacity.reset();
+        updateClaims(serviceCandidates);
     }
+    claimCapacity(attempt, now, serviceCandidates.claims);
     const bool requestedOnly = ticketless && !advice.pendingCalls.empty();
     return !waiting.unplaced.empty() && !requestedOnly;
 }
@@ -504,6 +515,11 @@
         leader.placementNeeded = leader.placementNeeded || !order.empty();
         return;
     }
+    updateAdviceRoom(leader, now);
+    leader.stepsAwaitAdviser = false;
+    for (auto &[service, serviceCandidates] : candidatesByService) {
+        updateClaims(serviceCandidates);
+    }
     wire::RunsPlacedT record;
     std::map<std::uint32_t, std::uint32_t> failures; ///< Failed attempts in this pass, by priority.
     for (const RankedStep &entry : order) {
--- a/Source/deployment/placing.h
+++ b/Source/deployment/placing.h
@@ -28,6 +28,7 @@
 {
     std::vector<PlacementCandidate> candidates; ///< Ordered by the number of the upstream.
     std::optional<bool> hasSpareCapacity; ///< Cached since the last placement; empty if not computed.
+    policy::AdviceClaims claims; ///< Of the steps that stay unplaced in this pass.
 };
 
 /** The candidates by service. */
@@ -43,6 +44,8 @@
     std::span<PlacementCandidate> candidates; ///< Candidates of the queue's service.
     policy::Isolation isolation = policy::Isolation::None; ///< By the crashes under its tasks.
     std::size_t maxTasks = SIZE_MAX; ///< Maximum number of tasks to place.
+    const policy::AdviceClaims *claims = nullptr; ///< Of the steps ranked above; null if they aren't known.
+    bool teamAtLimit = false; ///< Its team may use no more capacity, so that advice would be useless.
 };
 
 /** The advice service's reply on an upstream for a step. */
@@ -105,6 +108,19 @@
     }
 }
 
+/** Updates what the advisers can take. @param leader the leader state. @param now the current time. */
+void updateAdviceRoom(Leader &leader, const Now &now);
+
+/** Decides whether a step may request advice, and records why it may not. @param leader the leader state. @param attempt a step to place. @param now the
+ * current time. @return whether it has to wait. */
+bool holdAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now);
+
+/** Updates the capacity in the claims on a service. @param service its candidates. */
+void updateClaims(ServiceCandidates &service);
+
+/** Adds a step that stays unplaced to the claims on its service. @param attempt the step. @param now the current time. @param claims the claims. */
+void claimCapacity(const PlacementAttempt &attempt, const Now &now, policy::AdviceClaims &claims);
+
 /** Requests advice for a step unless a request is pending. @param leader the leader state. @param attempt a step to place. @param now the current time. @param
  * output receives the effects. */
 void requestAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output);
--- a/Source/policy/advicebudget.cpp
+++ b/Source/policy/advicebudget.cpp
@@ -1,6 +1,7 @@
 #include "policy/advicebudget.h"
 
 #include <algorithm>
+#include <array>
 #include <numeric>
 #include <tuple>
 #include <vector>
@@ -15,6 +16,18 @@
 constexpr double minCostFactor = 0.5;
 constexpr double maxCostFactor = 8;
 
+bool isBusy(const AdviceHost &host, std::uint64_t nowMs)
+{
+    return host.busyUntilMs > nowMs + busyAdviceHostMs;
+}
+
+std::size_t countBusy(std::span<const AdviceHost> hosts, std::uint64_t nowMs)
+{
+    return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [nowMs](const AdviceHost &host) {
+        return isBusy(host, nowMs);
+    }));
+}
+
 /** @return the hosts that a call may go through, in the order of their network delay. */
 std::vector<std::size_t> usableHosts(std::span<const AdviceHost> hosts, double costMs, bool hasShortCalls)
 {
@@ -61,11 +74,68 @@
 
 std::optional<std::size_t> chooseAdviceHost(std::span<const AdviceHost> hosts, double costMs, bool hasShortCalls, std::uint64_t nowMs)
 {
-    const std::vector<std::size_t> order = usableHosts(hosts, costMs, hasShortCalls);
+    std::vector<std::size_t> order = usableHosts(hosts, costMs, hasShortCalls);
+    if (2 * countBusy(hosts, nowMs) > hosts.size()) {
+        const auto busyOnes = std::stable_partition(order.begin(), order.end(), [&](std::size_t host) {
+            return !isBusy(hosts[host], nowMs);
+        });
+        if (busyOnes != order.begin()) {
+            order.erase(busyOnes, order.end());
+        }
+    }
     const auto best = std::min_element(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
         return std::tuple(expectedReplyMs(hosts[a], costMs, nowMs), hosts[a].networkDelayMs, a)
             < std::tuple(expectedReplyMs(hosts[b], costMs, nowMs), hosts[b].networkDelayMs, b);
     });
     return best == order.end() ? std::nullopt : std::optional(*best);
 }
+
+std::string_view nameOf(AdviceHold hold)
+{
+    constexpr std::array<std::string_view, adviceHolds> names{"none", "hosts", "submission", "turn", "too-late", "team"};
+    return names.at(static_cast<std::size_t>(hold));
+}
+
+AdviceRoom adviceRoom(std::span<const AdviceHost> hosts, bool hasShortCalls, std::uint64_t nowMs)
+{
+    const auto takes = [&](double costMs) {
+        const std::vector<std::size_t> usable = usableHosts(hosts, costMs, hasShortCalls);
+        return !std::all_of(usable.begin(), usable.end(), [&](std::size_t host) {
+            return isBusy(hosts[host], nowMs);
+        });
+    };
+    AdviceRoom room;
+    room.hosts = hosts.size();
+    room.busy = countBusy(hosts, nowMs);
+    room.takesShort = takes(0);
+    room.takesLong = takes(longAdviceCallMs + 1);
+    return room;
+}
+
+bool areMostBusy(const AdviceRoom &room)
+{
+    return 2 * room.busy > room.hosts;
+}
+
+AdviceHold adviceHoldFor(const AdviceAsk &ask, const AdviceRoom &room, [[maybe_unused]] const AdviceClaims &claims)
+{
+    const bool tooLate = ask.timeliness == Timeliness::TooLate;
+    if (ask.teamAtLimit) {
+        return AdviceHold::Team;
+    }
+    if (tooLate && areMostBusy(room)) {
+        return AdviceHold::TooLate;
+    }
+    const bool isLong = ask.costMs > longAdviceCallMs;
+    if (!areMostBusy(room)) {
+        return AdviceHold::None;
+    }
+    if (ask.hasOpenCall || !(isLong ? room.takesLong : room.takesShort)) {
+        return AdviceHold::Hosts;
+    }
+    if (isLong && ask.submission) {
+        return AdviceHold::Submission;
+    }
+    return AdviceHold::None;
+}
 }
--- a/Source/policy/advicebudget.h
+++ b/Source/policy/advicebudget.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 
 /** Use of the calls to the advice service, which are scarce: through which host a call goes, and which steps wait before they may make one. */
 namespace rosemaryturn::policy
@@ -43,8 +44,68 @@
 /** @param host a host. @param costMs time that a call takes by the plan. @return the expected time to its reply if it is sent now. */
 double expectedReplyMs(const AdviceHost &host, double costMs, std::uint64_t nowMs);
 
+/** Why a step makes no call now. */
+enum class AdviceHold : std::uint8_t {
+    None, ///< It may make a call.
+    Hosts, ///< Every host that may take the call is busy.
+    Submission, ///< The job is being recorded; steps that wait for a host go first.
+    Turn, ///< Steps ranked above it have tickets for more than what is free.
+    TooLate, ///< Its objective can't be met, and others still can be.
+    Team, ///< Its team is at its limit.
+};
+
+/** Number of values of AdviceHold. */
+constexpr std::size_t adviceHolds = 6;
+
+/** @param hold a reason. @return its name in the log and the metrics. */
+std::string_view nameOf(AdviceHold hold);
+
+/** What the hosts can take now. */
+struct AdviceRoom
+{
+    std::size_t hosts = 0;
+    std::size_t busy = 0; ///< Hosts that are busy.
+    bool takesShort = false; ///< Whether a host that may take short calls isn't busy.
+    bool takesLong = false; ///< The same for long calls.
+};
+
+/** @param hosts the hosts. @param hasShortCalls as for chooseAdviceHost(). @param nowMs current time. @return what they can take. */
+AdviceRoom adviceRoom(std::span<const AdviceHost> hosts, bool hasShortCalls, std::uint64_t nowMs);
+
+/** @param room what the hosts can take. @return whether most hosts are busy. */
+bool areMostBusy(const AdviceRoom &room);
+
+/** Capacity of the upstreams of a service, and the steps ranked above the one that asks. */
+struct AdviceClaims
+{
+    model::Resources free;
+    model::Resources used;
+    model::Resources claimed; ///< Needs of the steps with tickets or open calls.
+    bool inTimeWaits = false; ///< One of the steps can be in time or late.
+};
+
+/** A step that wants to make a call. */
+struct AdviceAsk
+{
+    double costMs = 0; ///< Time that the call takes by the plan.
+    double durationMs = 0; ///< Estimated duration of the step's tasks.
+    Timeliness timeliness = Timeliness::InTime;
+    bool submission = false; ///< Its job isn't recorded yet, and recorded steps wait for a host.
+    bool hasTickets = false; ///< It has a valid ticket.
+    bool hasOpenCall = false;
+    bool teamAtLimit = false;
+};
+
+/**
+ * Decides whether a step may make a call. While most hosts aren't busy, only steps that are too late or held by their team's limit wait. Otherwise the steps
+ * make their calls in the order of their rank as hosts become free, so that no call waits behind those of steps ranked below it.
+ * @param ask the step. @param room what the hosts can take. @param claims the capacity and the steps ranked above; needed only while most hosts are busy.
+ * @return why it has to wait.
+ */
+AdviceHold adviceHoldFor(const AdviceAsk &ask, const AdviceRoom &room, const AdviceClaims &claims);
+
 /**
- * Chooses the host through which the reply is expected first.
+ * Chooses the host through which the reply is expected first; while most are busy, of those that aren't, if there are any.
  * @param hosts the hosts. @param costMs time that the call takes by the plan. @param hasShortCalls whether other calls are short: long ones then leave the
  * fastest third of the hosts to them. @param nowMs current time.
  * @return the position of the host; empty if there is none.
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -1,6 +1,7 @@
 #include "deployment/leadertesting.h"
 #include "fakes/fleet.h"
 
+#include <map>
 #include <set>
 
 namespace
@@ -633,3 +634,109 @@
     CHECK_EQUAL(std::uint64_t{0}, test.leader.openBytes);
     CHECK(test.leader.openOccurrences.empty());
 }
+
+namespace
+{
+/** A leader with two advisers and one upstream, which an advice service always allows. */
+struct AdvisedLeader
+{
+    LeaderTest test;
+    std::map<std::string, std::uint64_t> freeMs; ///< When the advice service has handled the requests of each adviser.
+    std::multimap<std::uint64_t, AdviceCall> open; ///< Requests by the time of their reply.
+    std::vector<std::string> asked; ///< Steps of the requests.
+    std::vector<ListedRun> running; ///< Runs on the upstream.
+};
+
+void passWithAdvice(AdvisedLeader &self, std::uint64_t ms)
+{
+    LeaderTest &test = self.test;
+    for (std::uint64_t passedMs = 0; passedMs < ms; passedMs += 20) {
+        pass(test, 20);
+        deliverHeartbeat(test, "u0", born, "a-u0");
+        for (AdviceCall &call : std::exchange(test.advice, {})) {
+            std::uint64_t &freeMs = self.freeMs[call.host];
+            freeMs = std::max(freeMs, test.now.monotonicMs) + call.costMs;
+            self.asked.push_back(call.step);
+            self.open.emplace(freeMs, std::move(call));
+        }
+        while (!self.open.empty() && self.open.begin()->first <= test.now.monotonicMs) {
+            handleAdviceReply(test.leader, {self.open.extract(self.open.begin()).mapped().id, true, 2000, {{"u0", "t"}}}, test.now);
+        }
+        for (const UpstreamCall &call : std::exchange(test.calls, {})) {
+            if (call.kind == CallKind::Start) {
+                self.running.push_back(listedRun(call));
+            }
+            call.kind == CallKind::Poll ? answerPoll(test, call, born, self.running) : answer(test, call, CallStatus::Done);
+        }
+    }
+}
+
+/** Submits a job of one task; the shorter it is, the more urgent. */
+void submitAdvised(LeaderTest &test, const std::string &id, std::uint32_t durationMs)
+{
+    wire::JobSpecT spec;
+    spec.steps.push_back(std::make_unique<wire::StepSpecT>(makeStep(1, 4000, durationMs)));
+    CHECK(submitAsCaller(test, id, std::move(spec)) == model::Reason::None);
+}
+
+AdvisedLeader makeAdvisedLeader()
+{
+    AdvisedLeader self{makeLeader({"u0"}), {}, {}, {}, {}};
+    setAdvisers(self.test.leader, {"", "e0"});
+    wire::PlanAcceptedT plan;
+    plan.version = 1;
+    plan.queues.push_back(std::make_unique<wire::QueueSpecT>());
+    wire::QueueSpecT &queue = *plan.queues.front();
+    queue.host = "q";
+    queue.prefix = "/0/";
+    queue.service = "s";
+    queue.attempts = 5;
+    queue.slackFactor = 2;
+    queue.targetMs = 60000;
+    queue.advised = true;
+    queue.adviceMs = 400;
+    LeaderOutput output;
+    output.proposals = {wire::encodeChange(std::move(plan))};
+    collect(self.test, std::move(output));
+    return self;
+}
+}
+
+/** Requests were made for all steps as they came: tickets lapsed before there was room, and a new urgent step waited behind them at the advisers. */
+TEST_CASE(Leader, ScarceAdviceGoesToStepsWhoseTurnComes)
+{
+    AdvisedLeader self = makeAdvisedLeader();
+    for (int i = 0; i < 20; ++i) {
+        submitAdvised(self.test, "j" + std::to_string(i), 20000);
+    }
+    passWithAdvice(self, 20);
+    submitAdvised(self.test, "urgent", 500);
+    passWithAdvice(self, 1600);
+    constexpr std::size_t places = 4;
+    CHECK_EQUAL(places, self.running.size());
+    CHECK(std::any_of(self.running.begin(), self.running.end(), [](const ListedRun &run) {
+        return run.job == "urgent";
+    }));
+    CHECK(self.asked.size() <= places + 4); // Each adviser had two requests when the last place was taken.
+    CHECK(self.test.leader.counters.adviceHeld.at(static_cast<std::size_t>(policy::AdviceHold::Hosts)) >= 12);
+}
+
+/** After a restart of all control hosts a request was sent for each step of the backlog at once, and none could get ahead of them any more. */
+TEST_CASE(Leader, AfterARestartTheFirstRequestsAreForTheOldestAndMostUrgentSteps)
+{
+    AdvisedLeader before = makeAdvisedLeader();
+    for (int i = 0; i < 12; ++i) {
+        submitAdvised(before.test, "j" + std::to_string(i), i < 9 ? 20000 : 500);
+        pass(before.test, 20);
+    }
+    AdvisedLeader after;
+    after.test.state = before.test.state;
+    after.test.now = before.test.now;
+    setAdvisers(after.test.leader, {"", "e0"});
+    beginLeading(after.test, term + 1);
+    passWithAdvice(after, 300);
+    CHECK(after.asked.size() <= 4);
+    passWithAdvice(after, 900);
+    const std::vector<std::string> expected{"j9.0.0", "j10.0.0", "j11.0.0", "j0.0.0", "j1.0.0"};
+    CHECK(after.asked.size() >= expected.size() && std::equal(expected.begin(), expected.end(), after.asked.begin()));
+}
--- a/Tests/deployment/leadertesting.h
+++ b/Tests/deployment/leadertesting.h
@@ -21,6 +21,7 @@
     Now now{100000, 1700000100000};
     std::vector<wire::Bytes> proposals; ///< Not committed yet.
     std::vector<UpstreamCall> calls; ///< In the order in which they were sent.
+    std::vector<AdviceCall> advice; ///< Requests to the advice service, in the order in which they were sent.
     std::uint64_t heartbeats = 0; ///< Number of heartbeats.
     bool commits = true; ///< Whether records are committed at once.
 };
@@ -32,6 +33,7 @@
 inline void collect(LeaderTest &test, LeaderOutput output)
 {
     std::move(output.calls.begin(), output.calls.end(), std::back_inserter(test.calls));
+    std::move(output.advice.begin(), output.advice.end(), std::back_inserter(test.advice));
     std::move(output.proposals.begin(), output.proposals.end(), std::back_inserter(test.proposals));
     if (test.commits) {
         commit(test);
--- a/Tests/policy/advicebudget.cpp
+++ b/Tests/policy/advicebudget.cpp
@@ -8,55 +8,68 @@
 using namespace rosemaryturn::policy;
 
 constexpr std::uint64_t nowMs = 100000;
+}
 
-/** Sends calls through a host, each as the one before it is answered, as long as the host always has two. */
-AdviceHost keepBusy(double costMs, double factor, int replies)
+/** All hosts counted as equal, so that those with few processors got as many and as long calls as the others; no reply corrected the backlog of a host. */
+TEST_CASE(AdviceBudget, ASlowHostGetsFewerAndShorterCalls)
 {
-    AdviceHost host;
-    const auto takenMs = static_cast<std::uint64_t>(costMs * factor);
+    AdviceHost slow;
     std::uint64_t now = nowMs;
-    std::vector<AdviceTiming> open{{now, costMs}, {now, costMs}};
-    for (int i = 0; i < replies; ++i) {
-        now += takenMs;
-        const AdviceTiming answered = open.front();
-        open.erase(open.begin());
-        recordAdviceReply(host, answered, open, now);
-        open.push_back({now, costMs});
+    for (int i = 0; i < 40; ++i) {
+        now += 1500;
+        recordAdviceReply(slow, {now - 3000, 500}, std::vector<AdviceTiming>{{now - 1500, 500}}, now); // Calls of 500 ms take 1500 ms each.
     }
-    return host;
-}
+    CHECK(slow.costFactor > 2.9 && slow.costFactor <= 3);
+    CHECK(slow.busyUntilMs > now + 900);
+    slow.busyUntilMs = 0;
+    const std::vector<AdviceHost> hosts{slow, {now + 300, slow.networkDelayMs + 10, 1, 0}};
+    CHECK_EQUAL(std::size_t{1}, *chooseAdviceHost(hosts, 500, false, now));
+    CHECK_EQUAL(std::size_t{0}, *chooseAdviceHost(hosts, 20, false, now));
+    for (int i = 0; i < 40; ++i) {
+        now += 3000;
+        recordAdviceReply(slow, {now - 1580, 500}, {}, now); // No call was before it: the rest is network delay.
+    }
+    CHECK(slow.networkDelayMs > 75 && slow.networkDelayMs < 130);
+    CHECK(slow.busyUntilMs < now);
 }
 
-/** All hosts counted as equal, so that those with few processors got as many and as long calls as the others. */
-TEST_CASE(AdviceBudget, ASlowHostGetsFewerAndShorterCalls)
+namespace
 {
-    const AdviceHost slow = keepBusy(500, 3, 40);
-    CHECK(slow.costFactor > 2.5 && slow.costFactor < 3.5);
-    std::vector<AdviceHost> hosts{{0, slow.networkDelayMs, slow.costFactor, 0}, {nowMs + 300, slow.networkDelayMs + 10, 1, 0}};
-    CHECK_EQUAL(std::size_t{1}, *chooseAdviceHost(hosts, 500, false, nowMs));
-    CHECK_EQUAL(std::size_t{0}, *chooseAdviceHost(hosts, 20, false, nowMs));
-    CHECK(!chooseAdviceHost({}, 20, false, nowMs));
+constexpr AdviceRoom busyRoom{9, 6, true, true};
+constexpr AdviceAsk longCall{500, 5000, Timeliness::InTime, false, false, false, false};
+constexpr AdviceAsk shortCall{10, 5000, Timeliness::InTime, true, false, false, false};
+constexpr AdviceAsk submission{500, 5000, Timeliness::InTime, true, false, false, false};
+constexpr AdviceAsk furtherCall{500, 5000, Timeliness::InTime, false, true, true, false};
+constexpr AdviceAsk lateCall{500, 5000, Timeliness::TooLate, false, false, false, false};
+constexpr AdviceAsk heldByTeam{500, 5000, Timeliness::InTime, false, false, false, true};
 }
 
-TEST_CASE(AdviceBudget, ARepliesTimeIsNetworkDelayWhereNoCallWasBeforeIt)
+/** Calls were sent at once and queued at the hosts for seconds, in the order in which the jobs had come: urgent steps waited behind them. Where few hosts are
+ * busy, calls are made as early as ever. */
+TEST_CASE(AdviceBudget, CallsWaitOnlyWhileMostHostsAreBusy)
 {
-    AdviceHost host;
-    std::uint64_t now = nowMs;
-    for (int i = 0; i < 40; ++i) {
-        now += 1000;
-        recordAdviceReply(host, {now - 580, 500}, {}, now);
+    constexpr AdviceRoom idleRoom{9, 4, true, true};
+    for (const AdviceAsk &ask : {longCall, shortCall, submission, furtherCall, lateCall}) {
+        CHECK(adviceHoldFor(ask, idleRoom, {{}, {}, {1000, 0, 0, 0}, false}) == AdviceHold::None);
     }
-    CHECK_EQUAL(1.0, host.costFactor);
-    CHECK(host.networkDelayMs > 75 && host.networkDelayMs <= 80);
-    CHECK(host.busyUntilMs < now);
+    CHECK(adviceHoldFor(heldByTeam, idleRoom, {}) == AdviceHold::Team);
+    CHECK(adviceHoldFor(longCall, busyRoom, {}) == AdviceHold::None);
+    CHECK(adviceHoldFor(submission, busyRoom, {}) == AdviceHold::Submission);
+    CHECK(adviceHoldFor(furtherCall, busyRoom, {}) == AdviceHold::Hosts);
+    CHECK(adviceHoldFor(lateCall, busyRoom, {}) == AdviceHold::TooLate);
+    CHECK(adviceHoldFor(longCall, {9, 6, true, false}, {}) == AdviceHold::Hosts);
+    CHECK(adviceHoldFor(shortCall, {9, 6, true, false}, {}) == AdviceHold::None);
 }
 
-/** The backlog of a host was a sum of estimates that no reply corrected: a slow host got further calls as if it had handled those before. */
-TEST_CASE(AdviceBudget, TheBacklogFollowsTheOpenCalls)
+/** Calls went on to queue at the fastest hosts while slower ones were free. */
+TEST_CASE(AdviceBudget, FreeHostsGoFirstWhileMostAreBusy)
 {
-    AdviceHost host{nowMs + 100, 0, 2, 0};
-    recordAdviceReply(host, {nowMs - 500, 250}, std::vector<AdviceTiming>{{nowMs - 400, 300}, {nowMs - 300, 300}}, nowMs);
-    CHECK_EQUAL(nowMs + 1200, host.busyUntilMs);
-    recordAdviceReply(host, {nowMs - 400, 300}, {}, nowMs + 600);
-    CHECK_EQUAL(nowMs + 600, host.busyUntilMs);
+    std::vector<AdviceHost> hosts{{nowMs + 300, 0, 1, 0}, {nowMs + 400, 0, 1, 0}, {0, 60, 4, 0}};
+    CHECK_EQUAL(std::size_t{2}, *chooseAdviceHost(hosts, 500, false, nowMs));
+    CHECK(adviceRoom(hosts, true, nowMs).takesLong);
+    hosts[0].busyUntilMs = 0;
+    CHECK_EQUAL(std::size_t{0}, *chooseAdviceHost(hosts, 500, false, nowMs));
+    hosts[2].busyUntilMs = nowMs + 300;
+    CHECK(!adviceRoom(hosts, true, nowMs).takesLong); // The fastest third is for short calls.
+    CHECK(adviceRoom(hosts, true, nowMs).takesShort && adviceRoom(hosts, false, nowMs).takesLong);
 }
