policy: Make no long request for a step whose turn can't come

Cause: on full upstreams requests were made for steps ranked far below those that already had tickets for all that was free; their tickets lapsed unused.

Ruled out: holding short requests, which cost less than holding them does.

Not measured on a site.

--- a/Source/policy/advicebudget.cpp
+++ b/Source/policy/advicebudget.cpp
@@ -15,6 +15,26 @@
 /** Bounds of AdviceHost::costFactor: single replies that were held up must not exclude a host. */
 constexpr double minCostFactor = 0.5;
 constexpr double maxCostFactor = 8;
+/** Steps with tickets for this many times the free capacity use it up: each may use only some of the upstreams, so that not all of them fit at once. */
+constexpr double claimsPerFreeCapacity = 2;
+
+/** @return the capacity that is free or will be once a call is answered, if the running tasks take as long as those of the step. */
+double freeSoon(std::uint64_t free, std::uint64_t used, const AdviceAsk &ask)
+{
+    const double endingShare = ask.durationMs > 0 ? std::min(ask.costMs / ask.durationMs, 1.0) : 1;
+    return static_cast<double>(free) + endingShare * static_cast<double>(used);
+}
+
+/** @return whether steps ranked above use up the free capacity. */
+bool isUsedUp(const AdviceAsk &ask, const AdviceClaims &claims)
+{
+    const auto isExceeded = [&ask](std::uint64_t claimed, std::uint64_t free, std::uint64_t used) {
+        return static_cast<double>(claimed) > claimsPerFreeCapacity * freeSoon(free, used, ask);
+    };
+    return isExceeded(claims.claimed.cpuMillis, claims.free.cpuMillis, claims.used.cpuMillis)
+        || isExceeded(claims.claimed.memoryMb, claims.free.memoryMb, claims.used.memoryMb)
+        || isExceeded(claims.claimed.accelerators, claims.free.accelerators, claims.used.accelerators);
+}
 
 bool isBusy(const AdviceHost &host, std::uint64_t nowMs)
 {
@@ -117,7 +137,7 @@
     return 2 * room.busy > room.hosts;
 }
 
-AdviceHold adviceHoldFor(const AdviceAsk &ask, const AdviceRoom &room, [[maybe_unused]] const AdviceClaims &claims)
+AdviceHold adviceHoldFor(const AdviceAsk &ask, const AdviceRoom &room, const AdviceClaims &claims)
 {
     const bool tooLate = ask.timeliness == Timeliness::TooLate;
     if (ask.teamAtLimit) {
@@ -136,6 +156,6 @@
     if (isLong && ask.submission) {
         return AdviceHold::Submission;
     }
-    return AdviceHold::None;
+    return isLong && !ask.hasTickets && isUsedUp(ask, claims) ? AdviceHold::Turn : AdviceHold::None;
 }
 }
--- a/Tests/policy/advicebudget.cpp
+++ b/Tests/policy/advicebudget.cpp
@@ -61,6 +61,17 @@
     CHECK(adviceHoldFor(shortCall, {9, 6, true, false}, {}) == AdviceHold::None);
 }
 
+/** Tickets lapsed unused while the steps ranked above took the capacity. A tenth of what is used ends during the call. */
+TEST_CASE(AdviceBudget, AStepWhoseTurnCannotComeMakesNoCall)
+{
+    const auto claims = [](std::uint64_t cpu, std::uint64_t memory) {
+        return AdviceClaims{{1000, 1000, 0, 0}, {10000, 0, 0, 0}, {cpu, memory, 0, 0}, true};
+    };
+    CHECK(adviceHoldFor(longCall, busyRoom, claims(3900, 2000)) == AdviceHold::None);
+    CHECK(adviceHoldFor(longCall, busyRoom, claims(4100, 0)) == AdviceHold::Turn);
+    CHECK(adviceHoldFor(longCall, busyRoom, claims(0, 2100)) == AdviceHold::Turn);
+}
+
 /** Calls went on to queue at the fastest hosts while slower ones were free. */
 TEST_CASE(AdviceBudget, FreeHostsGoFirstWhileMostAreBusy)
 {
