policy: Leave requests to steps that can be in time when some advisers are busy

Cause: steps past three times their objective went on asking until half of the advisers were busy, so that they kept the load there.

Change: they ask only while at most a quarter of the advisers are busy if other steps wait that are worth more, and while at most half are if none does, as before.

Not measured on a site.

--- a/Source/policy/advicebudget.cpp
+++ b/Source/policy/advicebudget.cpp
@@ -140,10 +140,11 @@
 AdviceHold adviceHoldFor(const AdviceAsk &ask, const AdviceRoom &room, const AdviceClaims &claims)
 {
     const bool tooLate = ask.timeliness == Timeliness::TooLate;
+    const bool someBusy = 4 * room.busy > room.hosts;
     if (ask.teamAtLimit) {
         return AdviceHold::Team;
     }
-    if (tooLate && areMostBusy(room)) {
+    if (tooLate && (areMostBusy(room) || (someBusy && claims.inTimeWaits))) {
         return AdviceHold::TooLate;
     }
     const bool isLong = ask.costMs > longAdviceCallMs;
--- a/Tests/policy/advicebudget.cpp
+++ b/Tests/policy/advicebudget.cpp
@@ -52,6 +52,7 @@
     for (const AdviceAsk &ask : {longCall, shortCall, submission, furtherCall, lateCall}) {
         CHECK(adviceHoldFor(ask, idleRoom, {{}, {}, {1000, 0, 0, 0}, false}) == AdviceHold::None);
     }
+    CHECK(adviceHoldFor(lateCall, idleRoom, {{}, {}, {}, true}) == AdviceHold::TooLate);
     CHECK(adviceHoldFor(heldByTeam, idleRoom, {}) == AdviceHold::Team);
     CHECK(adviceHoldFor(longCall, busyRoom, {}) == AdviceHold::None);
     CHECK(adviceHoldFor(submission, busyRoom, {}) == AdviceHold::Submission);
