policy: Name only upstreams that help while requests for advice are scarce

Cause: requests were filled up with allowed upstreams that had no room, whose tickets lapsed before a task could use them, and gangs asked for more and more upstreams while the places on all of them were too few by far.

Change: while most advisers are busy, tickets without room aren't renewed, and a gang that knows as many allowed upstreams as it has tasks asks for others only if three quarters of it are expected to fit with them.

Ruled out: the same for gangs that know fewer, since room is reserved for a gang on upstreams known to be allowed.

Not measured on a site.

--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -214,7 +214,8 @@
         sources.push_back(&candidate);
     });
     const std::size_t minNamed = isCheapRequest(attempt.queue, candidates.size()) ? minUpstreamsPerCheapRequest : minUpstreamsPerRequest;
-    const policy::AdviceDemand demand{need.count, attempt.step.gang, allowedShareOf(leader, attempt.queue), minNamed, maxUpstreamsPerRequest};
+    const policy::AdviceDemand demand{
+        need.count, attempt.step.gang, allowedShareOf(leader, attempt.queue), minNamed, maxUpstreamsPerRequest, policy::areMostBusy(leader.adviceRoom)};
     std::vector<PlacementCandidate *> requested;
     for (const std::uint32_t number : policy::upstreamsToAskFor(demand, candidates)) {
         requested.push_back(*std::lower_bound(sources.begin(), sources.end(), number, [](const PlacementCandidate *candidate, std::uint32_t wanted) {
--- a/Source/policy/adviceselection.cpp
+++ b/Source/policy/adviceselection.cpp
@@ -10,6 +10,9 @@
 /** Factor by which the expected capacity exceeds the need: other steps take a part of it before the answer arrives. */
 constexpr double capacityMargin = 1.5;
 
+/** Share of a gang's tasks that has to be expected to fit before a scarce request is made: the number of allowed upstreams among 30 varies by about as much. */
+constexpr double minExpectedShare = 0.75;
+
 /** @return the tasks that an upstream is expected to take if it is asked about. */
 double expectedFit(const AdviceDemand &demand, const AdviceCandidate &candidate)
 {
@@ -17,6 +20,21 @@
 }
 }
 
+namespace
+{
+/** @return whether a gang that knows enough allowed upstreams had better wait for room on them than ask for others. */
+bool waitsForKnown(const AdviceDemand &demand, std::span<const AdviceCandidate> candidates)
+{
+    double expected = 0;
+    std::size_t known = 0;
+    for (const AdviceCandidate &candidate : candidates) {
+        expected += expectedFit(demand, candidate);
+        known += candidate.knowledge == AdviceKnowledge::Unknown ? 0 : 1;
+    }
+    return demand.gang && known >= demand.count && expected < minExpectedShare * demand.count;
+}
+}
+
 std::vector<std::uint32_t> upstreamsToAskFor(const AdviceDemand &demand, std::span<const AdviceCandidate> candidates)
 {
     double expected = 0;
@@ -26,10 +44,13 @@
         reachable += candidate.fitsNow;
         if (candidate.knowledge == AdviceKnowledge::Valid || candidate.pending) {
             expected += expectedFit(demand, candidate);
-        } else {
+        } else if (!demand.scarce || candidate.knowledge == AdviceKnowledge::Unknown || candidate.fitsNow > 0) {
             order.push_back(candidate);
         }
     }
+    if (demand.scarce && waitsForKnown(demand, candidates)) {
+        return {};
+    }
     const double wanted = capacityMargin * demand.count;
     const bool anyFits = std::any_of(order.begin(), order.end(), [](const AdviceCandidate &candidate) {
         return candidate.fitsNow > 0;
--- a/Tests/policy/adviceselection.cpp
+++ b/Tests/policy/adviceselection.cpp
@@ -101,3 +101,14 @@
     CHECK(upstreamsToAskFor({1, true, 0.164, 0, 100}, std::vector<AdviceCandidate>{unknown(5, 1), unknown(6, 1)}) == (std::vector<std::uint32_t>{5, 6}));
     CHECK(upstreamsToAskFor({4, true, 0.1, 0, 100}, std::vector<AdviceCandidate>{allowed(1, 2, true), unknown(5, 2)}) == (std::vector<std::uint32_t>{5}));
 }
+
+/** Busy hosts: requests named allowed upstreams without room, whose tickets lapsed, and gangs asked for ever more upstreams that had too few places by far. */
+TEST_CASE(AdviceSelection, ScarceRequestsAreMadeOnlyIfTheyAreExpectedToHelp)
+{
+    std::vector<AdviceCandidate> candidates{allowed(1, 1, false), allowed(2, 0, false), unknown(3, 0), unknown(4, 3)};
+    CHECK(upstreamsToAskFor({2, false, 0.5, 4, 100, true}, candidates) == (std::vector<std::uint32_t>{1, 4, 3}));
+    CHECK(!upstreamsToAskFor({3, true, 0.34, 0, 100, true}, candidates).empty()); // It knows too few upstreams to wait for.
+    CHECK(!upstreamsToAskFor({2, true, 0.34, 0, 100, true}, candidates).empty());
+    CHECK(upstreamsToAskFor({2, true, 0.1, 0, 100, true}, candidates).empty());
+    CHECK(!upstreamsToAskFor({2, true, 0.1, 0, 100, false}, candidates).empty());
+}
