policy: Leave only as many advisers to short requests as these need

Cause: long requests always left a third of the advisers to short ones.

Change: while most advisers are busy, one adviser and three times those that the short requests of the latest seconds kept busy are left to them; otherwise a third, as before.

Not measured on a site.

--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -148,13 +148,16 @@
         return;
     }
     const double costMs = attempt.queue.adviceMs + attempt.queue.advicePerUpstreamMs * static_cast<double>(requested.size());
-    const std::optional<std::size_t> chosen = policy::chooseAdviceHost(adviceHosts(leader), costMs, leader.hasShortRequests, now.monotonicMs);
+    const std::optional<std::size_t> chosen = policy::chooseAdviceHost(adviceHosts(leader), costMs, leader.shortRequests, now.monotonicMs);
     if (!chosen) {
         return;
     }
     Advice &advice = attempt.advice;
     Adviser &adviser = leader.advisers[*chosen];
     adviser.load.busyUntilMs = std::max(adviser.load.busyUntilMs, now.monotonicMs) + static_cast<std::uint64_t>(std::ceil(adviser.load.costFactor * costMs));
+    if (costMs <= policy::longAdviceCallMs) {
+        policy::recordShortAdviceCall(leader.shortRequests, costMs, now.monotonicMs);
+    }
     AdviceCall call;
     call.id = leader.nextCall++;
     call.host = adviser.host;
@@ -228,7 +231,7 @@
 
 void updateAdviceRoom(Leader &leader, const Now &now)
 {
-    leader.adviceRoom = policy::adviceRoom(adviceHosts(leader), leader.hasShortRequests, now.monotonicMs);
+    leader.adviceRoom = policy::adviceRoom(adviceHosts(leader), leader.shortRequests, now.monotonicMs);
 }
 
 bool holdAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now)
@@ -338,7 +341,7 @@
 
 void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan)
 {
-    leader.hasShortRequests = std::any_of(plan.queues.begin(), plan.queues.end(), [](const auto &queue) {
+    leader.shortRequests.present = std::any_of(plan.queues.begin(), plan.queues.end(), [](const auto &queue) {
         return queue->advised && queue->adviceMs + queue->advicePerUpstreamMs * static_cast<double>(minUpstreamsPerCheapRequest) <= policy::longAdviceCallMs;
     });
 }
