--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -161,6 +161,7 @@
     leader.advisers = std::move(advisers);
     leader.nextCall = nextCall;
     leader.counters = counters;
+    leader.reportedAdvice = counters;
     leader.active = true;
     leader.term = term;
     leader.leadingSinceMs = now.monotonicMs;
@@ -287,7 +288,7 @@
     }
     std::uint64_t busiestMs = 0;
     for (const Adviser &adviser : leader.advisers) {
-        busiestMs = std::max(busiestMs, adviser.busyUntilMs - std::min(adviser.busyUntilMs, now.monotonicMs));
+        busiestMs = std::max(busiestMs, adviser.load.busyUntilMs - std::min(adviser.load.busyUntilMs, now.monotonicMs));
     }
     output.decisions.push_back(
         {"load", std::to_string(leader.term), detail + " oldestMs=" + std::to_string(oldestMs) + " adviceBacklogMs=" + std::to_string(busiestMs)});
@@ -318,6 +319,7 @@
         handleAdviceReply(leader, unanswered, now);
     }
     reportLoad(leader, now, output);
+    internal::reportHeldAdvice(leader, now, output);
     if (cleanupDue) {
         internal::expireUnusedAdvice(leader, now);
         forgetJobs(leader, state, now, output);
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -3,6 +3,7 @@
 #include "deployment/authorization.h"
 #include "job/jobs.h"
 #include "model/reason.h"
+#include "policy/advicebudget.h"
 #include "policy/teamshare.h"
 #include "policy/waitingorder.h"
 #include "upstream/upstreamstate.h"
@@ -205,6 +206,7 @@
     std::uint64_t lastUsedMs = 0; ///< Time of the latest use.
     std::uint64_t answeredMs = 0; ///< Time of the latest reply.
     std::uint64_t ticketsValidUntilMs = 0; ///< Time at which the last ticket expires.
+    policy::AdviceHold hold = policy::AdviceHold::None; ///< Why the step couldn't make its latest request.
 };
 
 /** A step with tasks to place. */
@@ -228,8 +230,7 @@
 struct Adviser
 {
     std::string host;
-    std::uint64_t busyUntilMs = 0; ///< Estimated time at which the service has processed the requests sent through it.
-    double networkDelayMs = 0; ///< Smoothed response time beyond the service's own processing time.
+    policy::AdviceHost load;
 };
 
 /** A pending request to the advice service. */
@@ -238,7 +239,7 @@
     std::string step;
     std::string queue;
     std::string host; ///< Host that sends the request.
-    std::uint64_t costMs = 0; ///< Estimated time to the reply without network delay.
+    double costMs = 0; ///< Time that the service takes for it by the plan.
     std::vector<std::uint32_t> upstreams;
     std::uint64_t sentMs = 0;
     std::uint64_t timeoutMs = 0;
@@ -290,6 +291,9 @@
     std::uint64_t pollsUnanswered = 0;
     std::uint64_t adviceCalls = 0;
     std::uint64_t adviceUnanswered = 0;
+    std::uint64_t adviceUpstreams = 0; ///< Upstreams named in requests for advice.
+    std::uint64_t adviceRenewals = 0; ///< Those of them that were known to be allowed.
+    std::array<std::uint64_t, policy::adviceHolds> adviceHeld{}; ///< Steps that had to wait with their request, by policy::AdviceHold.
     std::uint64_t endsDone = 0;
     std::uint64_t endsFailed = 0;
     std::uint64_t endsStopped = 0;
@@ -337,7 +341,9 @@
     std::map<std::uint64_t, PendingAdvice> pendingAdvice;
     std::unordered_map<std::string, Advice> advice; ///< By step name; also for steps whose job isn't committed yet.
     std::vector<Adviser> advisers;
-    bool hasShortRequests = false; ///< Whether the plan has a queue whose requests to the advice service are short.
+    policy::AdviceRoom adviceRoom; ///< What the advisers can take in this placement pass.
+    bool stepsAwaitAdviser = false; ///< Steps had to wait with their requests in the latest placement pass, as all advisers were busy.
+    policy::ShortAdviceCalls shortRequests; ///< Short requests to the advice service, of all queues of the plan.
     std::unordered_map<std::string, PendingSubmit> pendingSubmits; ///< By id of the job.
     std::uint64_t proposedBytes = 0; ///< Memory for the jobs in pendingSubmits, whose records aren't committed.
     /** Memory for the occurrences that wait without a place in the state, by job and number. */
@@ -357,6 +363,8 @@
     bool placementNeeded = false; ///< A change since the latest pass may let a step be placed.
     std::uint64_t nextCleanupMs = 0;
     std::uint64_t nextLoadReportMs = 0;
+    std::uint64_t nextAdviceReportMs = 0;
+    LeaderCounters reportedAdvice; ///< Counters at the latest report of the requests for advice.
     std::uint64_t nextDueScanMs = 0;
     std::uint64_t nextWaitReportMs = 0; ///< Earliest time of the next report of a step that wasn't placed.
     std::uint64_t nextHoldReportMs = 0; ///< Earliest time of the next report of a step that the limit of its team holds back.
@@ -455,6 +463,7 @@
 void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan);
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output);
 void expireUnusedAdvice(Leader &leader, const Now &now);
+void reportHeldAdvice(Leader &leader, const Now &now, LeaderOutput &output);
 void placeWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 std::string stepName(const std::string &job, std::uint32_t occurrence, std::uint32_t step);
 bool mayPlaceOn(const Leader &leader, const upstream::UpstreamState &upstreamState, const Now &now);
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <optional>
 #include <utility>
 
 namespace rosemaryturn::deployment
@@ -23,10 +23,6 @@
 constexpr double cheapRequestMs = 120;
 /** Minimum number of upstreams in a cheap request. */
 constexpr std::size_t minUpstreamsPerCheapRequest = 16;
-/** Requests that take longer than this go through some of the advisers only. */
-constexpr double longRequestMs = 40;
-/** An adviser is busy if its pending requests take longer than this. */
-constexpr std::uint64_t busyAdviserMs = 200;
 /** Added to the estimated time of a reply for its timeout: the round trip through another host, and its queue. */
 constexpr std::uint64_t adviceTimeoutMarginMs = 1500;
 /** Delay before an unanswered request is repeated. */
@@ -111,54 +107,67 @@
     return requested;
 }
 
-/** @return the host through which the reply is expected first. */
-Adviser &fastestAdviser(Leader &leader, double costMs, const Now &now)
+std::vector<policy::AdviceHost> adviceHosts(const Leader &leader)
 {
-    // Long requests skip the fastest third of the advisers while there are short ones, which would queue behind them.
-    std::vector<Adviser *> order;
-    for (Adviser &adviser : leader.advisers) {
-        order.push_back(&adviser);
+    std::vector<policy::AdviceHost> hosts;
+    hosts.reserve(leader.advisers.size());
+    for (const Adviser &adviser : leader.advisers) {
+        hosts.push_back(adviser.load);
     }
-    std::sort(order.begin(), order.end(), [](const Adviser *a, const Adviser *b) {
-        return std::tuple(a->networkDelayMs, a->host) < std::tuple(b->networkDelayMs, b->host);
-    });
-    const std::size_t skipped = costMs > longRequestMs && leader.hasShortRequests ? order.size() / 3 : 0;
-    order.erase(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(skipped));
-    const auto readyMs = [&](const Adviser &adviser) {
-        return static_cast<double>(std::max(adviser.busyUntilMs, now.monotonicMs)) + costMs + adviser.networkDelayMs;
-    };
-    return **std::min_element(order.begin(), order.end(), [&readyMs](const Adviser *a, const Adviser *b) {
-        return readyMs(*a) < readyMs(*b);
-    });
+    return hosts;
 }
 
-/** @return whether most advisers are busy. Steps that can't meet their objective then request no advice. */
-bool advisersBusy(const Leader &leader, const Now &now)
+/** Records why a step couldn't make its request; a step counts once for each reason. */
+void recordHold(Leader &leader, Advice &advice, policy::AdviceHold hold)
 {
-    const auto busy = std::count_if(leader.advisers.begin(), leader.advisers.end(), [&now](const Adviser &adviser) {
-        return adviser.busyUntilMs > now.monotonicMs + busyAdviserMs;
-    });
-    return 2 * static_cast<std::size_t>(busy) > leader.advisers.size();
+    if (hold != policy::AdviceHold::None && hold != advice.hold) {
+        ++leader.counters.adviceHeld.at(static_cast<std::size_t>(hold));
+    }
+    advice.hold = hold;
+}
+
+/** @return why a step has to wait with a request. @param submission whether its job isn't recorded yet. */
+policy::AdviceHold holdFor(const Leader &leader, const PlacementAttempt &attempt, bool submission, const Now &now)
+{
+    policy::AdviceAsk ask;
+    const std::size_t named = isCheapRequest(attempt.queue, attempt.candidates.size()) ? minUpstreamsPerCheapRequest : minUpstreamsPerRequest;
+    ask.costMs = attempt.queue.adviceMs + attempt.queue.advicePerUpstreamMs * static_cast<double>(named);
+    ask.durationMs = attempt.step.estimatedMs;
+    ask.submission = submission && leader.stepsAwaitAdviser;
+    ask.timeliness = submission ? policy::Timeliness::InTime : policy::timelinessOf(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs));
+    ask.hasTickets = now.monotonicMs < attempt.advice.ticketsValidUntilMs;
+    ask.hasOpenCall = !attempt.advice.pendingCalls.empty();
+    ask.teamAtLimit = attempt.teamAtLimit;
+    return policy::adviceHoldFor(ask, leader.adviceRoom, attempt.claims == nullptr ? policy::AdviceClaims{} : *attempt.claims);
 }
 
 /** Sends a request through the adviser that is expected to answer first. @param requested the upstreams to name; nothing is sent if it is empty. */
 void sendAdviceRequest(Leader &leader, const PlacementAttempt &attempt, std::span<PlacementCandidate *const> requested, const Now &now, LeaderOutput &output)
 {
-    if (requested.empty() || leader.advisers.empty()) {
+    if (requested.empty()) {
         return;
     }
-    Advice &advice = attempt.advice;
     const double costMs = attempt.queue.adviceMs + attempt.queue.advicePerUpstreamMs * static_cast<double>(requested.size());
-    Adviser &adviser = fastestAdviser(leader, costMs, now);
-    adviser.busyUntilMs = std::max(adviser.busyUntilMs, now.monotonicMs) + static_cast<std::uint64_t>(std::ceil(costMs));
+    const std::optional<std::size_t> chosen = policy::chooseAdviceHost(adviceHosts(leader), costMs, leader.shortRequests, now.monotonicMs);
+    if (!chosen) {
+        return;
+    }
+    Advice &advice = attempt.advice;
+    Adviser &adviser = leader.advisers[*chosen];
+    adviser.load.busyUntilMs = std::max(adviser.load.busyUntilMs, now.monotonicMs) + static_cast<std::uint64_t>(std::ceil(adviser.load.costFactor * costMs));
+    if (costMs <= policy::longAdviceCallMs) {
+        policy::recordShortAdviceCall(leader.shortRequests, costMs, now.monotonicMs);
+    }
     AdviceCall call;
     call.id = leader.nextCall++;
     call.host = adviser.host;
     call.step = attempt.waiting.name;
     call.costMs = static_cast<std::uint64_t>(std::ceil(costMs));
-    call.timeoutMs = adviser.busyUntilMs - now.monotonicMs + adviceTimeoutMarginMs;
-    PendingAdvice open{call.step, attempt.queue.name, adviser.host, adviser.busyUntilMs - now.monotonicMs, {}, now.monotonicMs, call.timeoutMs};
+    call.timeoutMs = adviser.load.busyUntilMs - now.monotonicMs + adviceTimeoutMarginMs;
+    PendingAdvice open{call.step, attempt.queue.name, adviser.host, costMs, {}, now.monotonicMs, call.timeoutMs};
+    leader.counters.adviceUpstreams += requested.size();
     for (const PlacementCandidate *candidate : requested) {
+        leader.counters.adviceRenewals += advice.allowed.count(candidate->state->registration.number);
         call.upstreams.push_back(candidate->state->registration.id);
         open.upstreams.push_back(candidate->state->registration.number);
     }
@@ -167,6 +176,7 @@
     leader.pendingAdvice.emplace(call.id, std::move(open));
     ++leader.counters.adviceCalls;
     output.advice.push_back(std::move(call));
+    updateAdviceRoom(leader, now);
 }
 
 /** @return the upstreams that the pending requests of a step name. */
@@ -207,7 +217,8 @@
         sources.push_back(&candidate);
     });
     const std::size_t minNamed = isCheapRequest(attempt.queue, candidates.size()) ? minUpstreamsPerCheapRequest : minUpstreamsPerRequest;
-    const policy::AdviceDemand demand{need.count, attempt.step.gang, allowedShareOf(leader, attempt.queue), minNamed, maxUpstreamsPerRequest};
+    const policy::AdviceDemand demand{
+        need.count, attempt.step.gang, allowedShareOf(leader, attempt.queue), minNamed, maxUpstreamsPerRequest, policy::areMostBusy(leader.adviceRoom)};
     std::vector<PlacementCandidate *> requested;
     for (const std::uint32_t number : policy::upstreamsToAskFor(demand, candidates)) {
         requested.push_back(*std::lower_bound(sources.begin(), sources.end(), number, [](const PlacementCandidate *candidate, std::uint32_t wanted) {
@@ -218,6 +229,77 @@
 }
 }
 
+void updateAdviceRoom(Leader &leader, const Now &now)
+{
+    leader.adviceRoom = policy::adviceRoom(adviceHosts(leader), leader.shortRequests, now.monotonicMs);
+}
+
+bool holdAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now)
+{
+    recordHold(leader, attempt.advice, holdFor(leader, attempt, false, now));
+    leader.stepsAwaitAdviser = leader.stepsAwaitAdviser || attempt.advice.hold == policy::AdviceHold::Hosts;
+    return attempt.advice.hold != policy::AdviceHold::None;
+}
+
+void updateClaims(ServiceCandidates &service)
+{
+    service.claims.free = {};
+    service.claims.used = {};
+    for (const PlacementCandidate &candidate : service.candidates) {
+        service.claims.free = service.claims.free + upstream::freeCapacity(*candidate.state);
+        service.claims.used = service.claims.used + candidate.state->used;
+    }
+}
+
+void claimCapacity(const PlacementAttempt &attempt, const Now &now, policy::AdviceClaims &claims)
+{
+    const std::size_t unplaced = attempt.waiting.unplaced.size();
+    const Advice &advice = attempt.advice;
+    if (unplaced == 0 || !attempt.queue.advised
+        || policy::timelinessOf(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate) {
+        return;
+    }
+    claims.inTimeWaits = true;
+    if (advice.pendingCalls.empty() && now.monotonicMs >= advice.ticketsValidUntilMs) {
+        return;
+    }
+    const model::Resources need = resourcesPerTask(attempt.step);
+    claims.claimed.cpuMillis += need.cpuMillis * unplaced;
+    claims.claimed.memoryMb += need.memoryMb * unplaced;
+    claims.claimed.accelerators += need.accelerators * unplaced;
+}
+
+void reportHeldAdvice(Leader &leader, const Now &now, LeaderOutput &output)
+{
+    constexpr std::uint64_t reportIntervalMs = 1000;
+    if (now.monotonicMs < leader.nextAdviceReportMs) {
+        return;
+    }
+    leader.nextAdviceReportMs = now.monotonicMs + reportIntervalMs;
+    std::array<std::size_t, policy::adviceHolds> held{};
+    for (const auto &[ref, waiting] : leader.waiting) {
+        const auto advice = leader.advice.find(waiting.name);
+        if (advice != leader.advice.end() && !waiting.unplaced.empty()) {
+            ++held.at(static_cast<std::size_t>(advice->second.hold));
+        }
+    }
+    const LeaderCounters before = std::exchange(leader.reportedAdvice, leader.counters);
+    std::string detail;
+    for (std::size_t hold = 1; hold < held.size(); ++hold) {
+        if (held[hold] > 0) {
+            detail += " " + std::string(policy::nameOf(static_cast<policy::AdviceHold>(hold))) + "=" + std::to_string(held[hold]);
+        }
+    }
+    if (!detail.empty()) {
+        output.decisions.push_back({"advice-held",
+                                    std::to_string(leader.term),
+                                    "advisers=" + std::to_string(leader.adviceRoom.hosts) + " busy=" + std::to_string(leader.adviceRoom.busy)
+                                        + " calls=" + std::to_string(leader.counters.adviceCalls - before.adviceCalls)
+                                        + " named=" + std::to_string(leader.counters.adviceUpstreams - before.adviceUpstreams)
+                                        + " renewed=" + std::to_string(leader.counters.adviceRenewals - before.adviceRenewals) + detail});
+    }
+}
+
 void requestAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now, LeaderOutput &output)
 {
     if (attempt.advice.pendingCalls.empty() && now.monotonicMs >= attempt.advice.nextRequestMs) {
@@ -230,11 +312,9 @@
     if (now.monotonicMs < attempt.advice.nextRequestMs) {
         return;
     }
-    const bool tooLate = policy::timelinessOf(attempt.waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
-    if ((tooLate || !attempt.advice.pendingCalls.empty()) && advisersBusy(leader, now)) {
-        return;
+    if (!holdAdvice(leader, attempt, now)) {
+        requestAdviceWithCapacity(leader, attempt, now, output);
     }
-    requestAdviceWithCapacity(leader, attempt, now, output);
 }
 
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output)
@@ -242,20 +322,28 @@
     if (!queue.advised || job.repeatCount > 0) {
         return;
     }
+    updateAdviceRoom(leader, now);
     CandidatesByService candidatesByService = gatherCandidates(leader, now);
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         if (job.steps[step]->after.empty()) {
             WaitingStep waiting;
             waiting.name = stepName(job.id, 0, step);
-            requestAdvice(leader, {waiting, *job.steps[step], queue, leader.advice[waiting.name], candidatesByService[queue.service].candidates}, now, output);
+            Advice &advice = leader.advice[waiting.name];
+            advice.lastUsedMs = now.monotonicMs;
+            PlacementAttempt attempt{waiting, *job.steps[step], queue, advice, candidatesByService[queue.service].candidates};
+            attempt.teamAtLimit = isHeldByTeamLimit(leader, job.team, *job.steps[step]);
+            recordHold(leader, advice, holdFor(leader, attempt, true, now));
+            if (advice.hold == policy::AdviceHold::None) {
+                requestAdvice(leader, attempt, now, output);
+            }
         }
     }
 }
 
 void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan)
 {
-    leader.hasShortRequests = std::any_of(plan.queues.begin(), plan.queues.end(), [](const auto &queue) {
-        return queue->advised && queue->adviceMs + queue->advicePerUpstreamMs * static_cast<double>(minUpstreamsPerCheapRequest) <= longRequestMs;
+    leader.shortRequests.present = std::any_of(plan.queues.begin(), plan.queues.end(), [](const auto &queue) {
+        return queue->advised && queue->adviceMs + queue->advicePerUpstreamMs * static_cast<double>(minUpstreamsPerCheapRequest) <= policy::longAdviceCallMs;
     });
 }
 
@@ -265,6 +353,27 @@
         return entry.second.pendingCalls.empty() && entry.second.lastUsedMs + adviceRetentionMs < now.monotonicMs;
     });
 }
+
+namespace
+{
+/** Learns from a reply how long requests through its host take. */
+void learnFromReply(Leader &leader, const PendingAdvice &answered, const Now &now)
+{
+    const auto adviser = std::find_if(leader.advisers.begin(), leader.advisers.end(), [&answered](const Adviser &other) {
+        return other.host == answered.host;
+    });
+    if (adviser == leader.advisers.end()) {
+        return;
+    }
+    std::vector<policy::AdviceTiming> others;
+    for (const auto &[id, open] : leader.pendingAdvice) {
+        if (open.host == answered.host) {
+            others.push_back({open.sentMs, open.costMs});
+        }
+    }
+    policy::recordAdviceReply(adviser->load, {answered.sentMs, answered.costMs}, others, now.monotonicMs);
+}
+}
 }
 
 void handleAdviceReply(Leader &leader, const AdviceReply &reply, const Now &now)
@@ -275,12 +384,8 @@
     }
     const PendingAdvice open = std::move(found->second);
     leader.pendingAdvice.erase(found);
-    for (Adviser &adviser : leader.advisers) {
-        if (adviser.host == open.host && reply.answered) {
-            constexpr double weight = 0.2;
-            const double delayMs = static_cast<double>(now.monotonicMs - open.sentMs) - static_cast<double>(open.costMs);
-            adviser.networkDelayMs += weight * (std::max(delayMs, 0.0) - adviser.networkDelayMs);
-        }
+    if (reply.answered) {
+        internal::learnFromReply(leader, open, now);
     }
     const auto entry = leader.advice.find(open.step);
     if (entry == leader.advice.end()) {
@@ -326,7 +431,7 @@
             return adviser.host == host;
         });
         constexpr double otherRegionMs = 60; // Initial estimate for another region.
-        advisers.push_back(known == leader.advisers.end() ? Adviser{host, 0, host.empty() ? 0 : otherRegionMs} : *known);
+        advisers.push_back(known == leader.advisers.end() ? Adviser{host, {0, host.empty() ? 0 : otherRegionMs, 1, 0}} : *known);
     }
     leader.advisers = std::move(advisers);
 }
