policy: Leave only as many advisers to short requests as these need

Cause: long requests always left a third of the advisers to short ones.

Change: while most advisers are busy and steps have to wait for one, one adviser and three times those that the short requests of the latest seconds kept busy are left to them; otherwise a third, as before.

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -324,8 +324,8 @@
     std::unordered_map<std::string, Advice> advice; ///< By step name; also for steps whose job isn't committed yet.
     std::vector<Adviser> advisers;
     policy::AdviceRoom adviceRoom; ///< What the advisers can take in this placement pass.
-    bool stepsAwaitAdviser = false; ///< Steps had to wait with their requests in the latest placement pass, as all advisers were busy.
-    bool hasShortRequests = false; ///< Whether the plan has a queue whose requests to the advice service are short.
+    bool stepsAwaitAdviser = false; ///< Steps had to wait for an adviser since most became busy.
+    policy::ShortAdviceCalls shortRequests; ///< Short requests to the advice service, of all queues of the plan.
     std::unordered_map<std::string, std::vector<Token>> pendingSubmits; ///< Requests that wait for a job's record, by id of the job.
     std::uint64_t proposedBytes = 0; ///< Memory for the jobs in pendingSubmits, whose records aren't committed.
     /** Memory for the occurrences that wait without a place in the state, by job and number. */
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -117,6 +117,17 @@
     return hosts;
 }
 
+/** @return the short requests; before steps have to wait for an adviser, as many as it takes to keep the largest part of the advisers for them. */
+policy::ShortAdviceCalls shortRequestsFor(const Leader &leader)
+{
+    policy::ShortAdviceCalls requests = leader.shortRequests;
+    if (!leader.stepsAwaitAdviser) {
+        requests.load = static_cast<double>(leader.advisers.size());
+        requests.atMs = UINT64_MAX;
+    }
+    return requests;
+}
+
 /** Records why a step couldn't make its request; a step counts once for each reason. */
 void recordHold(Leader &leader, Advice &advice, policy::AdviceHold hold)
 {
@@ -148,13 +159,16 @@
         return;
     }
     const double costMs = attempt.queue.adviceMs + attempt.queue.advicePerUpstreamMs * static_cast<double>(requested.size());
-    const std::optional<std::size_t> chosen = policy::chooseAdviceHost(adviceHosts(leader), costMs, leader.hasShortRequests, now.monotonicMs);
+    const std::optional<std::size_t> chosen = policy::chooseAdviceHost(adviceHosts(leader), costMs, shortRequestsFor(leader), now.monotonicMs);
     if (!chosen) {
         return;
     }
     Advice &advice = attempt.advice;
     Adviser &adviser = leader.advisers[*chosen];
     adviser.load.busyUntilMs = std::max(adviser.load.busyUntilMs, now.monotonicMs) + static_cast<std::uint64_t>(std::ceil(adviser.load.costFactor * costMs));
+    if (costMs <= policy::longAdviceCallMs) {
+        policy::recordShortAdviceCall(leader.shortRequests, costMs, now.monotonicMs);
+    }
     AdviceCall call;
     call.id = leader.nextCall++;
     call.host = adviser.host;
@@ -228,7 +242,8 @@
 
 void updateAdviceRoom(Leader &leader, const Now &now)
 {
-    leader.adviceRoom = policy::adviceRoom(adviceHosts(leader), leader.hasShortRequests, now.monotonicMs);
+    leader.adviceRoom = policy::adviceRoom(adviceHosts(leader), shortRequestsFor(leader), now.monotonicMs);
+    leader.stepsAwaitAdviser = leader.stepsAwaitAdviser && policy::areMostBusy(leader.adviceRoom);
 }
 
 bool holdAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now)
@@ -338,7 +353,7 @@
 
 void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan)
 {
-    leader.hasShortRequests = std::any_of(plan.queues.begin(), plan.queues.end(), [](const auto &queue) {
+    leader.shortRequests.present = std::any_of(plan.queues.begin(), plan.queues.end(), [](const auto &queue) {
         return queue->advised && queue->adviceMs + queue->advicePerUpstreamMs * static_cast<double>(minUpstreamsPerCheapRequest) <= policy::longAdviceCallMs;
     });
 }
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -516,7 +516,6 @@
         return;
     }
     updateAdviceRoom(leader, now);
-    leader.stepsAwaitAdviser = false;
     for (auto &[service, serviceCandidates] : candidatesByService) {
         updateClaims(serviceCandidates);
     }
--- a/Source/policy/advicebudget.cpp
+++ b/Source/policy/advicebudget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <numeric>
 #include <tuple>
 #include <vector>
@@ -15,6 +16,10 @@
 /** Bounds of AdviceHost::costFactor: single replies that were held up must not exclude a host. */
 constexpr double minCostFactor = 0.5;
 constexpr double maxCostFactor = 8;
+/** Time over which the load of short calls is smoothed. */
+constexpr double shortLoadWindowMs = 4000;
+/** Hosts left for short calls, relative to those that they keep busy: they come in bursts. */
+constexpr double hostsPerShortLoad = 3;
 /** Steps with tickets for this many times the free capacity use it up: each may use only some of the upstreams, so that not all of them fit at once. */
 constexpr double claimsPerFreeCapacity = 2;
 
@@ -48,21 +53,48 @@
     }));
 }
 
+bool areMostBusy(std::span<const AdviceHost> hosts, std::uint64_t nowMs)
+{
+    return 2 * countBusy(hosts, nowMs) > hosts.size();
+}
+
+/** @return the load of the short calls now. */
+double shortCallLoad(const ShortAdviceCalls &calls, std::uint64_t nowMs)
+{
+    return calls.load * std::exp(-static_cast<double>(nowMs - std::min(nowMs, calls.atMs)) / shortLoadWindowMs);
+}
+
+/** @return the number of hosts that long calls leave to short ones. */
+std::size_t hostsForShortCalls(std::span<const AdviceHost> hosts, const ShortAdviceCalls &shortCalls, std::uint64_t nowMs)
+{
+    const std::size_t third = hosts.size() / 3;
+    if (!areMostBusy(hosts, nowMs)) {
+        return third;
+    }
+    return std::min(third, 1 + static_cast<std::size_t>(std::ceil(hostsPerShortLoad * shortCallLoad(shortCalls, nowMs))));
+}
+
 /** @return the hosts that a call may go through, in the order of their network delay. */
-std::vector<std::size_t> usableHosts(std::span<const AdviceHost> hosts, double costMs, bool hasShortCalls)
+std::vector<std::size_t> usableHosts(std::span<const AdviceHost> hosts, double costMs, const ShortAdviceCalls &shortCalls, std::uint64_t nowMs)
 {
     std::vector<std::size_t> order(hosts.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
-    if (costMs > longAdviceCallMs && hasShortCalls) {
+    if (costMs > longAdviceCallMs && shortCalls.present) {
         std::sort(order.begin(), order.end(), [hosts](std::size_t a, std::size_t b) {
             return std::tuple(hosts[a].networkDelayMs, a) < std::tuple(hosts[b].networkDelayMs, b);
         });
-        order.erase(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(order.size() / 3));
+        order.erase(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(hostsForShortCalls(hosts, shortCalls, nowMs)));
     }
     return order;
 }
 }
 
+void recordShortAdviceCall(ShortAdviceCalls &calls, double costMs, std::uint64_t nowMs)
+{
+    calls.load = shortCallLoad(calls, nowMs) + costMs / shortLoadWindowMs;
+    calls.atMs = nowMs;
+}
+
 void recordAdviceReply(AdviceHost &host, const AdviceTiming &answered, std::span<const AdviceTiming> others, std::uint64_t nowMs)
 {
     const auto now = static_cast<double>(nowMs);
@@ -92,10 +124,10 @@
     return static_cast<double>(backlogMs) + host.costFactor * costMs + host.networkDelayMs;
 }
 
-std::optional<std::size_t> chooseAdviceHost(std::span<const AdviceHost> hosts, double costMs, bool hasShortCalls, std::uint64_t nowMs)
+std::optional<std::size_t> chooseAdviceHost(std::span<const AdviceHost> hosts, double costMs, const ShortAdviceCalls &shortCalls, std::uint64_t nowMs)
 {
-    std::vector<std::size_t> order = usableHosts(hosts, costMs, hasShortCalls);
-    if (2 * countBusy(hosts, nowMs) > hosts.size()) {
+    std::vector<std::size_t> order = usableHosts(hosts, costMs, shortCalls, nowMs);
+    if (areMostBusy(hosts, nowMs)) {
         const auto busyOnes = std::stable_partition(order.begin(), order.end(), [&](std::size_t host) {
             return !isBusy(hosts[host], nowMs);
         });
@@ -116,10 +148,10 @@
     return names.at(static_cast<std::size_t>(hold));
 }
 
-AdviceRoom adviceRoom(std::span<const AdviceHost> hosts, bool hasShortCalls, std::uint64_t nowMs)
+AdviceRoom adviceRoom(std::span<const AdviceHost> hosts, const ShortAdviceCalls &shortCalls, std::uint64_t nowMs)
 {
     const auto takes = [&](double costMs) {
-        const std::vector<std::size_t> usable = usableHosts(hosts, costMs, hasShortCalls);
+        const std::vector<std::size_t> usable = usableHosts(hosts, costMs, shortCalls, nowMs);
         return !std::all_of(usable.begin(), usable.end(), [&](std::size_t host) {
             return isBusy(hosts[host], nowMs);
         });
--- a/Source/policy/advicebudget.h
+++ b/Source/policy/advicebudget.h
@@ -33,6 +33,17 @@
 /** Time until a host has handled its calls above which it is busy. */
 constexpr std::uint64_t busyAdviceHostMs = 200;
 
+/** Short calls, for which long ones leave some hosts free. */
+struct ShortAdviceCalls
+{
+    bool present = false; ///< Whether a queue has short calls.
+    double load = 0; ///< Smoothed number of hosts that they keep busy, at atMs.
+    std::uint64_t atMs = 0;
+};
+
+/** Adds a short call to the load. @param calls the short calls. @param costMs time that the call takes by the plan. @param nowMs current time. */
+void recordShortAdviceCall(ShortAdviceCalls &calls, double costMs, std::uint64_t nowMs);
+
 /**
  * Learns from a reply how long calls through a host take. A reply to a call that had to wait for the one before shows the time of a call; another one shows
  * the network delay.
@@ -69,8 +80,8 @@
     bool takesLong = false; ///< The same for long calls.
 };
 
-/** @param hosts the hosts. @param hasShortCalls as for chooseAdviceHost(). @param nowMs current time. @return what they can take. */
-AdviceRoom adviceRoom(std::span<const AdviceHost> hosts, bool hasShortCalls, std::uint64_t nowMs);
+/** @param hosts the hosts. @param shortCalls as for chooseAdviceHost(). @param nowMs current time. @return what they can take. */
+AdviceRoom adviceRoom(std::span<const AdviceHost> hosts, const ShortAdviceCalls &shortCalls, std::uint64_t nowMs);
 
 /** @param room what the hosts can take. @return whether most hosts are busy. */
 bool areMostBusy(const AdviceRoom &room);
@@ -106,9 +117,9 @@
 
 /**
  * Chooses the host through which the reply is expected first; while most are busy, of those that aren't, if there are any.
- * @param hosts the hosts. @param costMs time that the call takes by the plan. @param hasShortCalls whether other calls are short: long ones then leave the
- * fastest third of the hosts to them. @param nowMs current time.
+ * @param hosts the hosts. @param costMs time that the call takes by the plan. @param shortCalls the short calls of other steps: a long one leaves the
+ * fastest third of the hosts to them, or while most hosts are busy as many of these as they need. @param nowMs current time.
  * @return the position of the host; empty if there is none.
  */
-std::optional<std::size_t> chooseAdviceHost(std::span<const AdviceHost> hosts, double costMs, bool hasShortCalls, std::uint64_t nowMs);
+std::optional<std::size_t> chooseAdviceHost(std::span<const AdviceHost> hosts, double costMs, const ShortAdviceCalls &shortCalls, std::uint64_t nowMs);
 }
--- a/Tests/policy/advicebudget.cpp
+++ b/Tests/policy/advicebudget.cpp
@@ -1,6 +1,7 @@
 #include "policy/advicebudget.h"
 #include "testing.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace
@@ -23,8 +24,8 @@
     CHECK(slow.busyUntilMs > now + 900);
     slow.busyUntilMs = 0;
     const std::vector<AdviceHost> hosts{slow, {now + 300, slow.networkDelayMs + 10, 1, 0}};
-    CHECK_EQUAL(std::size_t{1}, *chooseAdviceHost(hosts, 500, false, now));
-    CHECK_EQUAL(std::size_t{0}, *chooseAdviceHost(hosts, 20, false, now));
+    CHECK_EQUAL(std::size_t{1}, *chooseAdviceHost(hosts, 500, {}, now));
+    CHECK_EQUAL(std::size_t{0}, *chooseAdviceHost(hosts, 20, {}, now));
     for (int i = 0; i < 40; ++i) {
         now += 3000;
         recordAdviceReply(slow, {now - 1580, 500}, {}, now); // No call was before it: the rest is network delay.
@@ -77,11 +78,27 @@
 TEST_CASE(AdviceBudget, FreeHostsGoFirstWhileMostAreBusy)
 {
     std::vector<AdviceHost> hosts{{nowMs + 300, 0, 1, 0}, {nowMs + 400, 0, 1, 0}, {0, 60, 4, 0}};
-    CHECK_EQUAL(std::size_t{2}, *chooseAdviceHost(hosts, 500, false, nowMs));
-    CHECK(adviceRoom(hosts, true, nowMs).takesLong);
+    CHECK_EQUAL(std::size_t{2}, *chooseAdviceHost(hosts, 500, {}, nowMs));
+    CHECK(adviceRoom(hosts, {true}, nowMs).takesLong);
     hosts[0].busyUntilMs = 0;
-    CHECK_EQUAL(std::size_t{0}, *chooseAdviceHost(hosts, 500, false, nowMs));
+    CHECK_EQUAL(std::size_t{0}, *chooseAdviceHost(hosts, 500, {}, nowMs));
     hosts[2].busyUntilMs = nowMs + 300;
-    CHECK(!adviceRoom(hosts, true, nowMs).takesLong); // The fastest third is for short calls.
-    CHECK(adviceRoom(hosts, true, nowMs).takesShort && adviceRoom(hosts, false, nowMs).takesLong);
+    CHECK(!adviceRoom(hosts, {true}, nowMs).takesLong); // The fastest third is for short calls.
+    CHECK(adviceRoom(hosts, {true}, nowMs).takesShort && adviceRoom(hosts, {}, nowMs).takesLong);
+}
+
+/** A third of the hosts was kept for short calls that need far fewer, while steps waited seconds for long ones. */
+TEST_CASE(AdviceBudget, ShortCallsKeepAsManyHostsAsTheyNeed)
+{
+    std::vector<AdviceHost> hosts(30);
+    std::fill(hosts.begin() + 10, hosts.end(), AdviceHost{nowMs + 300, 60, 1, 0});
+    ShortAdviceCalls calls{true};
+    CHECK(adviceRoom(hosts, calls, nowMs).takesLong);
+    std::fill(hosts.begin() + 3, hosts.begin() + 10, hosts.back());
+    CHECK(adviceRoom(hosts, calls, nowMs).takesLong);
+    for (std::uint64_t ms = 0; ms < 8000; ms += 10) {
+        recordShortAdviceCall(calls, 10, nowMs - 8000 + ms); // They keep one host busy.
+    }
+    CHECK(!adviceRoom(hosts, calls, nowMs).takesLong);
+    CHECK(adviceRoom(hosts, calls, nowMs + 60000).takesLong);
 }
