deployment: Learn from requests for advice that aren't answered

Cause: an unanswered request taught nothing. An adviser whose link was cut, or that failed at once, kept the delay that it had, and if that was the lowest, most short requests went through it in vain.

The adviser is tried again once the others are as slow, and each answer brings its delay down.

Ruled out: counting the adviser as busy for a fixed time, after which all requests would go to it again.

--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -380,22 +380,29 @@
 
 namespace
 {
-/** Learns from a reply how long requests through its host take. */
-void learnFromReply(Leader &leader, const PendingAdvice &answered, const Now &now)
+/** Learns from a reply how long requests through its host take, or that they aren't answered. */
+void learnFromReply(Leader &leader, const PendingAdvice &closed, bool answered, const Now &now)
 {
-    const auto adviser = std::find_if(leader.advisers.begin(), leader.advisers.end(), [&answered](const Adviser &other) {
-        return other.host == answered.host;
+    const auto adviser = std::find_if(leader.advisers.begin(), leader.advisers.end(), [&closed](const Adviser &other) {
+        return other.host == closed.host;
     });
     if (adviser == leader.advisers.end()) {
         return;
     }
+    if (!answered) {
+        // An adviser that fails fast, or whose link is cut, would otherwise stay the fastest one. It is tried again once the others are as slow.
+        constexpr double weight = 0.2;
+        const auto lostMs = static_cast<double>(std::max(now.monotonicMs - closed.sentMs, adviceTimeoutMarginMs));
+        adviser->load.networkDelayMs += weight * (lostMs - adviser->load.networkDelayMs);
+        return;
+    }
     std::vector<policy::AdviceTiming> others;
     for (const auto &[id, open] : leader.pendingAdvice) {
-        if (open.host == answered.host) {
+        if (open.host == closed.host) {
             others.push_back({open.sentMs, open.costMs});
         }
     }
-    policy::recordAdviceReply(adviser->load, {answered.sentMs, answered.costMs}, others, now.monotonicMs);
+    policy::recordAdviceReply(adviser->load, {closed.sentMs, closed.costMs}, others, now.monotonicMs);
 }
 }
 }
@@ -408,9 +415,7 @@
     }
     const PendingAdvice open = std::move(found->second);
     leader.pendingAdvice.erase(found);
-    if (reply.answered) {
-        internal::learnFromReply(leader, open, now);
-    }
+    internal::learnFromReply(leader, open, reply.answered, now);
     const auto entry = leader.advice.find(open.step);
     if (entry == leader.advice.end()) {
         return;
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -645,6 +645,8 @@
     std::multimap<std::uint64_t, AdviceCall> open; ///< Requests by the time of their reply.
     std::vector<std::string> asked; ///< Steps of the requests.
     std::vector<ListedRun> running; ///< Runs on the upstream.
+    bool localFails = false; ///< Whether the requests of the leader's own host aren't answered.
+    std::size_t failed = 0; ///< Number of such requests.
 };
 
 void passWithAdvice(AdvisedLeader &self, std::uint64_t ms)
@@ -660,7 +662,10 @@
             self.open.emplace(freeMs, std::move(call));
         }
         while (!self.open.empty() && self.open.begin()->first <= test.now.monotonicMs) {
-            handleAdviceReply(test.leader, {self.open.extract(self.open.begin()).mapped().id, true, 2000, {{"u0", "t"}}}, test.now);
+            const AdviceCall call = self.open.extract(self.open.begin()).mapped();
+            const bool fails = self.localFails && call.host.empty();
+            self.failed += fails ? 1 : 0;
+            handleAdviceReply(test.leader, {call.id, !fails, 2000, {{"u0", "t"}}}, test.now);
         }
         for (const UpstreamCall &call : std::exchange(test.calls, {})) {
             if (call.kind == CallKind::Start) {
@@ -681,7 +686,8 @@
 
 AdvisedLeader makeAdvisedLeader()
 {
-    AdvisedLeader self{makeLeader({"u0"}), {}, {}, {}, {}};
+    AdvisedLeader self;
+    self.test = makeLeader({"u0"});
     setAdvisers(self.test.leader, {"", "e0"});
     wire::PlanAcceptedT plan;
     plan.version = 1;
@@ -740,3 +746,17 @@
     const std::vector<std::string> expected{"j9.0.0", "j10.0.0", "j11.0.0", "j0.0.0", "j1.0.0"};
     CHECK(after.asked.size() >= expected.size() && std::equal(expected.begin(), expected.end(), after.asked.begin()));
 }
+
+/** An adviser whose link was cut had no delay to learn from: it stayed the fastest one, and most short requests went through it in vain. */
+TEST_CASE(Leader, AnAdviserThatFailsIsNotTakenForTheFastest)
+{
+    AdvisedLeader self = makeAdvisedLeader();
+    self.localFails = true;
+    constexpr std::size_t jobs = 16;
+    for (std::size_t i = 0; i < jobs; ++i) {
+        submitAdvised(self.test, "j" + std::to_string(i), 1000);
+        passWithAdvice(self, 1000);
+    }
+    CHECK(self.asked.size() >= jobs);
+    CHECK(self.failed <= 4);
+}
