--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -342,7 +342,7 @@
     std::unordered_map<std::string, Advice> advice; ///< By step name; also for steps whose job isn't committed yet.
     std::vector<Adviser> advisers;
     policy::AdviceRoom adviceRoom; ///< What the advisers can take in this placement pass.
-    bool stepsAwaitAdviser = false; ///< Steps had to wait with their requests in the latest placement pass, as all advisers were busy.
+    bool stepsAwaitAdviser = false; ///< Steps had to wait for an adviser since most became busy.
     policy::ShortAdviceCalls shortRequests; ///< Short requests to the advice service, of all queues of the plan.
     std::unordered_map<std::string, PendingSubmit> pendingSubmits; ///< By id of the job.
     std::uint64_t proposedBytes = 0; ///< Memory for the jobs in pendingSubmits, whose records aren't committed.
--- a/Source/deployment/leaderadvice.cpp
+++ b/Source/deployment/leaderadvice.cpp
@@ -50,6 +50,14 @@
     return queue.advicePerUpstreamMs * static_cast<double>(upstreams) <= cheapRequestMs;
 }
 
+/** @return the number of upstreams whose part in the time of a request is at most this many times the fixed one. */
+std::size_t ampleUpstreams(const wire::QueueSpecT &queue)
+{
+    constexpr double maxPart = 1.5;
+    const double upstreams = queue.advicePerUpstreamMs > 0 ? maxPart * queue.adviceMs / queue.advicePerUpstreamMs : static_cast<double>(maxUpstreamsPerRequest);
+    return static_cast<std::size_t>(std::min(upstreams, static_cast<double>(maxUpstreamsPerRequest)));
+}
+
 /** @return how many upstreams to name so that the allowed ones are expected to hold the step, by their free capacity. */
 std::size_t requestSizeFor(const Leader &leader, const PlacementAttempt &attempt, std::span<PlacementCandidate *const> unrequested,
                            std::span<PlacementCandidate *const> known)
@@ -117,6 +125,17 @@
     return hosts;
 }
 
+/** @return the short requests; before steps have to wait for an adviser, as many as it takes to keep the largest part of the advisers for them. */
+policy::ShortAdviceCalls shortRequestsFor(const Leader &leader)
+{
+    policy::ShortAdviceCalls requests = leader.shortRequests;
+    if (!leader.stepsAwaitAdviser) {
+        requests.load = static_cast<double>(leader.advisers.size());
+        requests.atMs = UINT64_MAX;
+    }
+    return requests;
+}
+
 /** Records why a step couldn't make its request; a step counts once for each reason. */
 void recordHold(Leader &leader, Advice &advice, policy::AdviceHold hold)
 {
@@ -148,7 +167,7 @@
         return;
     }
     const double costMs = attempt.queue.adviceMs + attempt.queue.advicePerUpstreamMs * static_cast<double>(requested.size());
-    const std::optional<std::size_t> chosen = policy::chooseAdviceHost(adviceHosts(leader), costMs, leader.shortRequests, now.monotonicMs);
+    const std::optional<std::size_t> chosen = policy::chooseAdviceHost(adviceHosts(leader), costMs, shortRequestsFor(leader), now.monotonicMs);
     if (!chosen) {
         return;
     }
@@ -217,8 +236,13 @@
         sources.push_back(&candidate);
     });
     const std::size_t minNamed = isCheapRequest(attempt.queue, candidates.size()) ? minUpstreamsPerCheapRequest : minUpstreamsPerRequest;
-    const policy::AdviceDemand demand{
-        need.count, attempt.step.gang, allowedShareOf(leader, attempt.queue), minNamed, maxUpstreamsPerRequest, policy::areMostBusy(leader.adviceRoom)};
+    const policy::AdviceDemand demand{need.count,
+                                      attempt.step.gang,
+                                      allowedShareOf(leader, attempt.queue),
+                                      minNamed,
+                                      maxUpstreamsPerRequest,
+                                      policy::areMostBusy(leader.adviceRoom),
+                                      ampleUpstreams(attempt.queue)};
     std::vector<PlacementCandidate *> requested;
     for (const std::uint32_t number : policy::upstreamsToAskFor(demand, candidates)) {
         requested.push_back(*std::lower_bound(sources.begin(), sources.end(), number, [](const PlacementCandidate *candidate, std::uint32_t wanted) {
@@ -231,7 +255,8 @@
 
 void updateAdviceRoom(Leader &leader, const Now &now)
 {
-    leader.adviceRoom = policy::adviceRoom(adviceHosts(leader), leader.shortRequests, now.monotonicMs);
+    leader.adviceRoom = policy::adviceRoom(adviceHosts(leader), shortRequestsFor(leader), now.monotonicMs);
+    leader.stepsAwaitAdviser = leader.stepsAwaitAdviser && policy::areMostBusy(leader.adviceRoom);
 }
 
 bool holdAdvice(Leader &leader, const PlacementAttempt &attempt, const Now &now)
@@ -356,22 +381,29 @@
 
 namespace
 {
-/** Learns from a reply how long requests through its host take. */
-void learnFromReply(Leader &leader, const PendingAdvice &answered, const Now &now)
+/** Learns from a reply how long requests through its host take, or that they aren't answered. */
+void learnFromReply(Leader &leader, const PendingAdvice &closed, bool answered, const Now &now)
 {
-    const auto adviser = std::find_if(leader.advisers.begin(), leader.advisers.end(), [&answered](const Adviser &other) {
-        return other.host == answered.host;
+    const auto adviser = std::find_if(leader.advisers.begin(), leader.advisers.end(), [&closed](const Adviser &other) {
+        return other.host == closed.host;
     });
     if (adviser == leader.advisers.end()) {
         return;
     }
+    if (!answered) {
+        // An adviser that fails fast, or whose link is cut, would otherwise stay the fastest one. It is tried again once the others are as slow.
+        constexpr double weight = 0.2;
+        const auto lostMs = static_cast<double>(std::max(now.monotonicMs - closed.sentMs, adviceTimeoutMarginMs));
+        adviser->load.networkDelayMs += weight * (lostMs - adviser->load.networkDelayMs);
+        return;
+    }
     std::vector<policy::AdviceTiming> others;
     for (const auto &[id, open] : leader.pendingAdvice) {
-        if (open.host == answered.host) {
+        if (open.host == closed.host) {
             others.push_back({open.sentMs, open.costMs});
         }
     }
-    policy::recordAdviceReply(adviser->load, {answered.sentMs, answered.costMs}, others, now.monotonicMs);
+    policy::recordAdviceReply(adviser->load, {closed.sentMs, closed.costMs}, others, now.monotonicMs);
 }
 }
 }
@@ -384,9 +416,7 @@
     }
     const PendingAdvice open = std::move(found->second);
     leader.pendingAdvice.erase(found);
-    if (reply.answered) {
-        internal::learnFromReply(leader, open, now);
-    }
+    internal::learnFromReply(leader, open, reply.answered, now);
     const auto entry = leader.advice.find(open.step);
     if (entry == leader.advice.end()) {
         return;
