--- a/Source/policy/waitingorder.cpp
+++ b/Source/policy/waitingorder.cpp
@@ -11,18 +11,30 @@
     return completionMs <= key.releaseMs + lateFactor * key.objectiveMs ? Timeliness::Late : Timeliness::TooLate;
 }
 
-bool hasSpareCapacity(const model::Resources &used, const model::Resources &total)
+bool hasSpareCapacity(const model::Resources &used, const model::Resources &total, double maxUsedShare)
 {
-    const auto isBelowLimit = [](std::uint64_t usedPart, std::uint64_t totalPart) {
-        return static_cast<double>(usedPart) <= maxUsedShareForTooLate * static_cast<double>(totalPart);
+    const auto isBelowLimit = [maxUsedShare](std::uint64_t usedPart, std::uint64_t totalPart) {
+        return static_cast<double>(usedPart) <= maxUsedShare * static_cast<double>(totalPart);
     };
     return isBelowLimit(used.cpuMillis, total.cpuMillis) && isBelowLimit(used.memoryMb, total.memoryMb) && isBelowLimit(used.accelerators, total.accelerators);
 }
 
-std::tuple<int, std::uint32_t, int, std::int64_t, std::uint64_t> waitingRank(const WaitingKey &key, std::int64_t nowMs)
+std::int64_t latestStartMs(const WaitingKey &key, std::int64_t nowMs)
+{
+    const std::int64_t factor = timelinessOf(key, nowMs) == Timeliness::InTime ? 1 : lateFactor;
+    return key.releaseMs + factor * key.objectiveMs - key.remainingMs;
+}
+
+WaitingRank waitingRank(const WaitingKey &key, std::int64_t nowMs)
 {
     const Timeliness timeliness = timelinessOf(key, nowMs);
-    const std::int64_t latestStartMs = key.releaseMs + key.objectiveMs - key.remainingMs;
-    return {timeliness == Timeliness::TooLate ? 1 : 0, key.priority, timeliness == Timeliness::Late ? 1 : 0, latestStartMs, key.number};
+    if (key.byValue && timeliness == Timeliness::TooLate) {
+        return {1, 0, 0, 0, key.releaseMs, key.number};
+    }
+    if (key.byValue) {
+        return {0, key.deferred ? 1 : 0, 0, 0, latestStartMs(key, nowMs), key.number};
+    }
+    const std::int64_t startMs = key.releaseMs + key.objectiveMs - key.remainingMs;
+    return {timeliness == Timeliness::TooLate ? 1 : 0, 0, key.priority, timeliness == Timeliness::Late ? 1 : 0, startMs, key.number};
 }
 }
