deployment: Order and admit jobs by what a shortage costs their callers

The leader accepted jobs that could only be completed after three times their objective, and the least urgent queue bore a whole shortage.

It keeps the unplaced work by job and queue, rebuilt when it begins to lead, defers steps every 200 ms before a placement pass, and refuses a job with 429 overloaded and a Retry-After from the backlog. Nothing is refused for 5 s after a change of leader, beside free capacity, or without an evaluation in the last 1.5 s. Steps that are too late may use up to 0.9 of the capacity while no other step waits, as a late result still counts as served.

Active under a plan with teams or with the new setting overload (default false); otherwise order and admission are unchanged.

--- a/Source/config/deploymentsettings.cpp
+++ b/Source/config/deploymentsettings.cpp
@@ -92,6 +92,7 @@
     settings.memoryMb = reader.number("memoryMb", {64, maxMemoryMb, 256});
     // All calls of the leader take 0.08 of a core at 48 upstreams; at 350 upstreams, the calls alone take 0.4.
     settings.couriersFromUpstreams = reader.number("couriersFromUpstreams", {1, maxUpstreams, 100});
+    settings.overload = reader.flag("overload", false);
     reader.reportUnknownFields();
     if (!errors.empty()) {
         return std::nullopt;
--- a/Source/config/deploymentsettings.h
+++ b/Source/config/deploymentsettings.h
@@ -43,6 +43,7 @@
     std::uint64_t keepJobsMs = 0;
     std::uint64_t heartbeatMs = 0;
     std::uint64_t memoryMb = 0; ///< Memory that the process may use.
+    bool overload = false; ///< Whether jobs are ordered and admitted by what delays cost, also under a plan without teams.
     std::uint64_t couriersFromUpstreams = 0; ///< Number of upstreams from which non-voting hosts (couriers) deliver the orders of the leader.
 };
 
--- a/Source/daemon/deploymentdaemon.cpp
+++ b/Source/daemon/deploymentdaemon.cpp
@@ -149,6 +149,7 @@
     options.leader.drainMs = settings.drainMs;
     options.leader.keepJobsMs = settings.keepJobsMs;
     options.leader.maxHeldBytes = maxHeldBytes(settings.memoryMb);
+    options.leader.overload = settings.overload;
     options.leader.maxSilenceMs = settings.heartbeatMs * 5 / 2;
     return options;
 }
--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -63,6 +63,20 @@
     appendHistogram(text, "step_wait_ms", counters.stepWaits);
     appendHistogram(text, "start_answer_ms", counters.startAnswers);
 }
+
+/** Appends the backlog of the first queues by name: the number of lines is bounded whatever the plan lists. */
+void appendBacklog(std::string &text, const deployment::Overload &overload)
+{
+    constexpr std::size_t maxQueues = 50;
+    constexpr double msPerSecond = 1000;
+    std::size_t queues = 0;
+    for (const auto &[name, queue] : overload.queues) {
+        if (++queues > maxQueues) {
+            break;
+        }
+        appendMetric(text, "backlog_core_seconds{queue=\"" + name.first + name.second + "\"}", static_cast<std::uint64_t>(queue.backlogMs / msPerSecond));
+    }
+}
 }
 
 void DeploymentMetrics::update(const deployment::Host &host, const telemetry::TrafficTotals &traffic, std::uint64_t syncs, std::uint64_t linesDropped)
@@ -77,6 +91,8 @@
     appendMetric(text, "held_bytes", host.state.heldBytes);
     appendMetric(text, "held_bytes_max", host.options.leader.maxHeldBytes);
     appendMetric(text, "jobs_without_room_total", host.leader.counters.jobsWithoutRoom);
+    appendMetric(text, "jobs_overloaded_total", host.leader.counters.jobsOverloaded);
+    appendBacklog(text, host.leader.overload);
     appendMetric(text, "occurrences_without_room_total", host.leader.counters.occurrencesWithoutRoom);
     appendMetric(text, "requests_open", host.routed.size());
     appendMetric(text, "replies_unmatched_total", host.unmatchedReplies);
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -160,6 +160,7 @@
         upstream::includeEarlierLeaders(upstreamState, leader.options.lease, now.monotonicMs);
         upstreamState.shapeKnown = false; // The capacity may have been reduced since it was recorded.
     }
+    internal::rebuildBacklog(leader, state);
     wire::RunsEndedT lost;
     for (const auto &[number, job] : state.jobs) {
         inheritRuns(leader, job, lost);
@@ -200,6 +201,7 @@
     if (!leader.active) {
         return;
     }
+    internal::updateBacklog(leader, state, record);
     if (const auto *accepted = record.change.AsJobAccepted()) {
         applyJobAccepted(leader, state, *accepted, now, output);
     } else if (const auto *placed = record.change.AsRunsPlaced()) {
@@ -225,6 +227,7 @@
         answerWaiting(leader.pendingPlans, plan->version, reply, output);
         output.decisions.push_back({"plan-in-force", std::to_string(state.plan.version), "queues=" + std::to_string(state.plan.queues.size())});
         internal::applyPlanToAdvice(leader, state.plan);
+        internal::rebuildBacklog(leader, state);
         internal::applyPlanToWaitingSteps(leader, state, now, output);
     } else if (const auto *forgotten = record.change.AsJobsForgotten()) {
         for (const std::uint64_t number : forgotten->jobs) {
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -2,6 +2,7 @@
 
 #include "job/jobs.h"
 #include "model/reason.h"
+#include "policy/overload.h"
 #include "policy/waitingorder.h"
 #include "upstream/upstreamstate.h"
 #include "wire/codec.h"
@@ -49,6 +50,7 @@
     std::uint64_t maxHeldBytes = 160ULL << 20U; ///< Memory for the jobs that are held, as job/footprint.h estimates it; a job beyond it is refused.
     std::uint32_t maxCrashes = 4; ///< Number of upstreams whose crash under a task fails its job.
     std::uint32_t maxPossibleCrashes = 5; ///< The same, with those counted whose start had no answer.
+    bool overload = false; ///< Orders and admits jobs by what delays cost their callers, also under a plan without teams.
 };
 
 /** Kind of a call to an upstream. */
@@ -291,6 +293,7 @@
     std::uint64_t jobsGivenUp = 0; ///< Jobs that failed since too many upstreams crashed under one of their tasks.
     std::uint64_t jobsFailedByPlan = 0; ///< Jobs that failed with a plan, as a task had failed as often as the plan allows.
     std::uint64_t jobsWithoutRoom = 0; ///< Refusals of jobs that the state has no room for.
+    std::uint64_t jobsOverloaded = 0; ///< Refusals of jobs that could not be completed within three times their objective.
     std::uint64_t occurrencesWithoutRoom = 0; ///< Occurrences of timed jobs that were due and had to wait for room.
     std::uint64_t badHeartbeats = 0; ///< Heartbeats that describe no upstream to use.
     std::uint64_t jobsCompleted = 0;
@@ -300,6 +303,31 @@
     LatencyHistogram startAnswers; ///< From sending a start to its reply.
 };
 
+/** Sizes and backlog of the jobs of one queue. */
+struct QueueLoad
+{
+    policy::WorkStatistics sizes;
+    double backlogMs = 0; ///< Core-milliseconds of its jobs that aren't placed yet.
+};
+
+/** Load of one service as of the latest evaluation. */
+struct ServiceOverload
+{
+    policy::ServiceLoad load;
+    std::uint64_t evaluatedMs = 0;
+    std::vector<policy::WaitingJob> jobs; ///< Input of the evaluation; kept for its memory.
+};
+
+/** Backlog of accepted jobs, and which of them are deferred. Without effect unless the plan has teams or the options ask for it. */
+struct Overload
+{
+    std::unordered_map<std::uint64_t, double> jobs; ///< Core-milliseconds that aren't placed yet, by number of the job.
+    std::map<std::pair<std::string, std::string>, QueueLoad> queues; ///< By host and prefix.
+    std::map<std::string, ServiceOverload> services;
+    std::uint64_t lastSampled = 0; ///< Highest number of a job whose size was recorded.
+    std::uint64_t nextEvaluationMs = 0;
+};
+
 /** State of the leader beyond the replicated state. */
 struct Leader
 {
@@ -339,6 +367,7 @@
     std::uint64_t nextLoadReportMs = 0;
     std::uint64_t nextDueScanMs = 0;
     std::uint64_t nextWaitReportMs = 0; ///< Earliest time of the next report of a step that wasn't placed.
+    Overload overload;
     LeaderCounters counters;
 };
 
@@ -413,6 +442,15 @@
 void onJobEnded(Leader &leader, const job::State &state, const job::Job &job, const Now &now, LeaderOutput &output);
 void tickRuns(Leader &leader, const job::State &state, upstream::UpstreamState &upstreamState, const Now &now, LeaderOutput &output);
 
+// leaderoverload.cpp
+bool isOverloadControlled(const Leader &leader, const job::State &state);
+void rebuildBacklog(Leader &leader, const job::State &state);
+void updateBacklog(Leader &leader, const job::State &state, const wire::RecordT &record);
+void setWeight(const Leader &leader, const job::State &state, const job::Job &job, std::uint32_t step, policy::WaitingKey &key, const Now &now);
+void deferSteps(Leader &leader, const job::State &state, const Now &now);
+bool refuseUnderLoad(Leader &leader, const job::State &state, Token token, const wire::JobSpecT &spec, const wire::QueueSpecT &queue, const Now &now,
+                     LeaderOutput &output);
+
 // leaderwaiting.cpp, leaderadvice.cpp and leaderplacing.cpp
 void enqueueReadySteps(Leader &leader, const job::State &state, const job::Job &job, const Now &now);
 void updateWaitingStep(Leader &leader, const job::State &state, const StepRef &ref, const Now &now);
@@ -425,6 +463,7 @@
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output);
 void expireUnusedAdvice(Leader &leader, const Now &now);
 void placeWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
+policy::WaitingKey waitingKey(const wire::QueueSpecT *queue, const job::Job &job, std::uint32_t step, std::uint64_t dueWallMs, const Now &now);
 std::string stepName(const std::string &job, std::uint32_t occurrence, std::uint32_t step);
 bool mayPlaceOn(const Leader &leader, const upstream::UpstreamState &upstreamState, const Now &now);
 }
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -329,7 +329,7 @@
 /** A waiting step and its rank. */
 struct RankedStep
 {
-    decltype(policy::waitingRank({}, 0)) rank;
+    policy::WaitingRank rank;
     WaitingStep *waiting = nullptr;
 };
 
@@ -352,8 +352,9 @@
     return order;
 }
 
-/** @return whether the upstreams have spare capacity for a step that can't meet its objective any more. */
-bool hasSpareCapacity(ServiceCandidates &serviceCandidates)
+/** @return whether the upstreams have spare capacity for a step that can't meet its objective any more. All steps that are too late rank behind the others,
+ * so that the maximum is the same for all of a pass. */
+bool hasSpareCapacity(ServiceCandidates &serviceCandidates, double maxUsedShare)
 {
     if (!serviceCandidates.hasSpareCapacity) {
         model::Resources used;
@@ -362,7 +363,7 @@
             used = used + candidate.state->used;
             total = total + candidate.state->capacity;
         }
-        serviceCandidates.hasSpareCapacity = policy::hasSpareCapacity(used, total);
+        serviceCandidates.hasSpareCapacity = policy::hasSpareCapacity(used, total, maxUsedShare);
     }
     return *serviceCandidates.hasSpareCapacity;
 }
@@ -377,6 +378,9 @@
         return false; // The queue isn't configured.
     }
     ServiceCandidates &serviceCandidates = candidatesByService[queue->service];
+    const bool tooLate = policy::timelinessOf(waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
+    const bool othersWaited = serviceCandidates.othersWait;
+    serviceCandidates.othersWait = othersWaited || !tooLate;
     Advice &advice = leader.advice[waiting.name];
     advice.lastUsedMs = now.monotonicMs;
     // Without a valid ticket an attempt fails until the reply arrives. A backlog whose tickets expired must not use up the pass.
@@ -397,8 +401,8 @@
         waiting.nextAttemptMs = now.monotonicMs + retryMs;
         return false;
     }
-    const bool tooLate = policy::timelinessOf(waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
-    if (tooLate && !hasSpareCapacity(serviceCandidates)) {
+    const bool alone = waiting.key.byValue && !othersWaited;
+    if (tooLate && !hasSpareCapacity(serviceCandidates, alone ? policy::maxUsedShareForTooLateAlone : policy::maxUsedShareForTooLate)) {
         leader.placementNeeded = true;
         waiting.nextAttemptMs = now.monotonicMs + retryMs;
         waiting.reserved.clear();
@@ -409,6 +413,9 @@
     if (waiting.unplaced.size() < before) {
         serviceCandidates.hasSpareCapacity.reset();
     }
+    if (waiting.unplaced.empty()) {
+        serviceCandidates.othersWait = othersWaited;
+    }
     const bool requestedOnly = ticketless && !advice.pendingCalls.empty();
     return !waiting.unplaced.empty() && !requestedOnly;
 }
@@ -498,6 +505,7 @@
     leader.placementNeeded = false;
     leader.previousPlacementMs = leader.lastPlacementMs;
     leader.lastPlacementMs = now.monotonicMs;
+    deferSteps(leader, state, now);
     const std::vector<RankedStep> order = rankedSteps(leader, now);
     CandidatesByService candidatesByService = gatherCandidates(leader, now);
     if (candidatesByService.empty()) {
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -74,6 +74,9 @@
     record.spec->id = id;
     record.spec->host = queue->host;
     record.spec->prefix = queue->prefix;
+    if (internal::refuseUnderLoad(leader, state, token, *record.spec, *queue, now, output)) {
+        return;
+    }
     const std::uint64_t neededBytes = job::acceptedBytes(*record.spec);
     if (!internal::hasRoomFor(leader, state, neededBytes)) {
         ++leader.counters.jobsWithoutRoom;
--- a/Source/deployment/leaderwaiting.cpp
+++ b/Source/deployment/leaderwaiting.cpp
@@ -18,20 +18,6 @@
 /** Number of steps of one job that are considered at a time: occurrences that are due beyond it wait until earlier ones are done. */
 constexpr std::size_t maxOpenSteps = 10000;
 
-/** @return the values that determine the rank of a step. */
-policy::WaitingKey waitingKey(const wire::QueueSpecT *queue, const job::Job &job, std::uint32_t step, std::uint64_t dueWallMs, const Now &now)
-{
-    const std::uint64_t startWallMs = std::max(job.acceptedAtMs, dueWallMs);
-    const double factor = queue == nullptr ? 1 : std::max(queue->slackFactor, 1.0);
-    policy::WaitingKey key;
-    key.priority = queue == nullptr ? 0 : queue->priority;
-    key.releaseMs = static_cast<std::int64_t>(now.monotonicMs) + static_cast<std::int64_t>(startWallMs) - static_cast<std::int64_t>(now.wallMs);
-    key.objectiveMs = std::llround(factor * static_cast<double>(job.order.criticalPathMs)) + (queue == nullptr ? 0 : queue->targetMs);
-    key.remainingMs = static_cast<std::int64_t>(job.order.remainingMs[step]);
-    key.number = job.number;
-    return key;
-}
-
 std::uint64_t dueTimeMs(const job::Job &job, std::uint32_t occurrence)
 {
     constexpr std::uint64_t never = std::numeric_limits<std::uint64_t>::max();
@@ -70,6 +56,20 @@
 }
 }
 
+/** @return the values that determine the rank of a step. */
+policy::WaitingKey waitingKey(const wire::QueueSpecT *queue, const job::Job &job, std::uint32_t step, std::uint64_t dueWallMs, const Now &now)
+{
+    const std::uint64_t startWallMs = std::max(job.acceptedAtMs, dueWallMs);
+    const double factor = queue == nullptr ? 1 : std::max(queue->slackFactor, 1.0);
+    policy::WaitingKey key;
+    key.priority = queue == nullptr ? 0 : queue->priority;
+    key.releaseMs = static_cast<std::int64_t>(now.monotonicMs) + static_cast<std::int64_t>(startWallMs) - static_cast<std::int64_t>(now.wallMs);
+    key.objectiveMs = std::llround(factor * static_cast<double>(job.order.criticalPathMs)) + (queue == nullptr ? 0 : queue->targetMs);
+    key.remainingMs = static_cast<std::int64_t>(job.order.remainingMs[step]);
+    key.number = job.number;
+    return key;
+}
+
 std::string stepName(const std::string &job, std::uint32_t occurrence, std::uint32_t step)
 {
     return job + "." + std::to_string(occurrence) + "." + std::to_string(step);
@@ -167,6 +167,7 @@
         waiting.waitingSinceMs = now.monotonicMs;
         waiting.dueWallMs = dueTimeMs(job, ref.occurrence);
         waiting.key = waitingKey(queue, job, ref.step, waiting.dueWallMs, now);
+        setWeight(leader, state, job, ref.step, waiting.key, now);
     }
     collectUnplacedTasks(leader, state, job, waiting);
     leader.placementNeeded = true;
@@ -197,6 +198,7 @@
             const std::int64_t releaseMs = waiting.key.releaseMs; // Independent of steps of the clock since.
             waiting.key = waitingKey(job::queueOf(state, job), job, ref.step, waiting.dueWallMs, now);
             waiting.key.releaseMs = releaseMs;
+            setWeight(leader, state, job, ref.step, waiting.key, now);
         }
     }
     for (const std::uint64_t number : ended) {
--- a/Source/deployment/placing.h
+++ b/Source/deployment/placing.h
@@ -27,6 +27,7 @@
 struct ServiceCandidates
 {
     std::vector<PlacementCandidate> candidates; ///< Ordered by the number of the upstream.
+    bool othersWait = false; ///< A step that isn't too late was tried before in this pass and still has tasks to place.
     std::optional<bool> hasSpareCapacity; ///< Cached since the last placement; empty if not computed.
 };
 
--- a/Source/model/reason.cpp
+++ b/Source/model/reason.cpp
@@ -72,6 +72,8 @@
     ReasonInfo{Reason::UnknownJob, "unknown-job", 410, Never, "no such job was accepted, or it ended longer ago than jobs are kept"},
     ReasonInfo{Reason::NotAdviser, "not-adviser", 503, Later, "this host can't reach the advice service"},
     ReasonInfo{Reason::StateFull, "state-full", 503, Later, "the control hosts have no memory for this job beside those that they hold; nothing was stored"},
+    ReasonInfo{
+        Reason::Overloaded, "overloaded", 429, Later, "the accepted work lets this job complete later than three times its objective; nothing was stored"},
 };
 
 class ReasonCategory final : public std::error_category
--- a/Source/model/reason.h
+++ b/Source/model/reason.h
@@ -67,6 +67,7 @@
     UnknownJob,
     NotAdviser,
     StateFull,
+    Overloaded,
 };
 
 /** What the caller of a refused request may do. */
