--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -4,6 +4,7 @@
 #include "job/jobs.h"
 #include "model/reason.h"
 #include "policy/advicebudget.h"
+#include "policy/overload.h"
 #include "policy/teamshare.h"
 #include "policy/waitingorder.h"
 #include "upstream/upstreamstate.h"
@@ -54,6 +55,7 @@
     std::uint64_t maxHeldBytes = 160ULL << 20U; ///< Memory for the jobs that are held, as job/footprint.h estimates it; a job beyond it is refused.
     std::uint32_t maxCrashes = 4; ///< Number of upstreams whose crash under a task fails its job.
     std::uint32_t maxPossibleCrashes = 5; ///< The same, with those counted whose start had no answer.
+    bool overload = false; ///< Orders and admits jobs by what delays cost their callers, also under a plan without teams.
 };
 
 /** Kind of a call to an upstream. */
@@ -311,6 +313,7 @@
     std::uint64_t callsWithoutKey = 0; ///< Calls rejected for lack of a key.
     std::uint64_t callsWithUnknownKey = 0; ///< Calls rejected as the plan doesn't contain their key.
     std::uint64_t callsForOtherTeam = 0; ///< Calls rejected as their job belongs to another team.
+    std::uint64_t jobsOverloaded = 0; ///< Refusals of jobs that could not be completed within three times their objective.
     std::uint64_t occurrencesWithoutRoom = 0; ///< Occurrences of timed jobs that were due and had to wait for room.
     std::uint64_t jobsBeyondTeamLimit = 0; ///< Refusals of jobs with a gang or a task that exceeds the limit of its team.
     std::uint64_t stepsHeldByTeamLimit = 0; ///< How often a waiting step came to be held back by the limit of its team.
@@ -322,6 +325,31 @@
     LatencyHistogram startAnswers; ///< From sending a start to its reply.
 };
 
+/** Sizes and backlog of the jobs of one queue. */
+struct QueueLoad
+{
+    policy::WorkStatistics sizes;
+    double backlogMs = 0; ///< Core-milliseconds of its jobs that aren't placed yet.
+};
+
+/** Load of one service as of the latest evaluation. */
+struct ServiceOverload
+{
+    policy::ServiceLoad load;
+    std::uint64_t evaluatedMs = 0;
+    std::vector<policy::WaitingJob> jobs; ///< Input of the evaluation; kept for its memory.
+};
+
+/** Backlog of accepted jobs, and which of them are deferred. Without effect unless the plan has teams or the options ask for it. */
+struct Overload
+{
+    std::unordered_map<std::uint64_t, double> jobs; ///< Core-milliseconds that aren't placed yet, by number of the job.
+    std::map<std::pair<std::string, std::string>, QueueLoad> queues; ///< By host and prefix.
+    std::map<std::string, ServiceOverload> services;
+    std::uint64_t lastSampled = 0; ///< Highest number of a job whose size was recorded.
+    std::uint64_t nextEvaluationMs = 0;
+};
+
 /** State of the leader beyond the replicated state. */
 struct Leader
 {
@@ -368,6 +396,7 @@
     std::uint64_t nextDueScanMs = 0;
     std::uint64_t nextWaitReportMs = 0; ///< Earliest time of the next report of a step that wasn't placed.
     std::uint64_t nextHoldReportMs = 0; ///< Earliest time of the next report of a step that the limit of its team holds back.
+    Overload overload;
     LeaderCounters counters;
 };
 
@@ -452,6 +481,15 @@
 std::optional<std::uint32_t> stepBeyondTeamLimit(const Leader &leader, const wire::JobSpecT &job);
 std::string describeTeamUsage(const Leader &leader, const std::string &team);
 
+// leaderoverload.cpp
+bool isOverloadControlled(const Leader &leader, const job::State &state);
+void rebuildBacklog(Leader &leader, const job::State &state);
+void updateBacklog(Leader &leader, const job::State &state, const wire::RecordT &record);
+void setWeight(const Leader &leader, const job::State &state, const job::Job &job, std::uint32_t step, policy::WaitingKey &key, const Now &now);
+void deferSteps(Leader &leader, const job::State &state, const Now &now);
+bool refuseUnderLoad(Leader &leader, const job::State &state, Token token, const wire::JobSpecT &spec, const wire::QueueSpecT &queue, const Now &now,
+                     LeaderOutput &output);
+
 // leaderwaiting.cpp, leaderadvice.cpp and leaderplacing.cpp
 void enqueueReadySteps(Leader &leader, const job::State &state, const job::Job &job, const Now &now);
 void updateWaitingStep(Leader &leader, const job::State &state, const StepRef &ref, const Now &now);
@@ -465,6 +503,7 @@
 void expireUnusedAdvice(Leader &leader, const Now &now);
 void reportHeldAdvice(Leader &leader, const Now &now, LeaderOutput &output);
 void placeWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
+policy::WaitingKey waitingKey(const wire::QueueSpecT *queue, const job::Job &job, std::uint32_t step, std::uint64_t dueWallMs, const Now &now);
 std::string stepName(const std::string &job, std::uint32_t occurrence, std::uint32_t step);
 bool mayPlaceOn(const Leader &leader, const upstream::UpstreamState &upstreamState, const Now &now);
 }
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -350,7 +350,7 @@
 /** A waiting step and its rank. */
 struct RankedStep
 {
-    decltype(policy::waitingRank({}, 0)) rank;
+    policy::WaitingRank rank;
     WaitingStep *waiting = nullptr;
 };
 
@@ -373,8 +373,9 @@
     return order;
 }
 
-/** @return whether the upstreams have spare capacity for a step that can't meet its objective any more. */
-bool hasSpareCapacity(ServiceCandidates &serviceCandidates)
+/** @return whether the upstreams have spare capacity for a step that can't meet its objective any more. All steps that are too late rank behind the others,
+ * so that the maximum is the same for all of a pass. */
+bool hasSpareCapacity(ServiceCandidates &serviceCandidates, double maxUsedShare)
 {
     if (!serviceCandidates.hasSpareCapacity) {
         model::Resources used;
@@ -383,7 +384,7 @@
             used = used + candidate.state->used;
             total = total + candidate.state->capacity;
         }
-        serviceCandidates.hasSpareCapacity = policy::hasSpareCapacity(used, total);
+        serviceCandidates.hasSpareCapacity = policy::hasSpareCapacity(used, total, maxUsedShare);
     }
     return *serviceCandidates.hasSpareCapacity;
 }
@@ -406,6 +407,9 @@
         waiting.nextAttemptMs = 0;
     }
     ServiceCandidates &serviceCandidates = candidatesByService[queue->service];
+    const bool tooLate = policy::timelinessOf(waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
+    const bool othersWaited = serviceCandidates.othersWait;
+    serviceCandidates.othersWait = othersWaited || !tooLate;
     Advice &advice = leader.advice[waiting.name];
     advice.lastUsedMs = now.monotonicMs;
     PlacementAttempt attempt{waiting, step, *queue, advice, serviceCandidates.candidates};
@@ -435,8 +439,8 @@
         return false;
     }
     attempt.maxTasks = std::min(attempt.maxTasks, tasksWithinTeamLimit(leader, waiting.team, step));
-    const bool tooLate = policy::timelinessOf(waiting.key, static_cast<std::int64_t>(now.monotonicMs)) == policy::Timeliness::TooLate;
-    if (tooLate && !hasSpareCapacity(serviceCandidates)) {
+    const bool alone = waiting.key.byValue && !othersWaited;
+    if (tooLate && !hasSpareCapacity(serviceCandidates, alone ? policy::maxUsedShareForTooLateAlone : policy::maxUsedShareForTooLate)) {
         leader.placementNeeded = true;
         waiting.nextAttemptMs = now.monotonicMs + retryMs;
         waiting.reserved.clear();
@@ -449,6 +453,9 @@
         updateClaims(serviceCandidates);
     }
     claimCapacity(attempt, now, serviceCandidates.claims);
+    if (waiting.unplaced.empty()) {
+        serviceCandidates.othersWait = othersWaited;
+    }
     const bool requestedOnly = ticketless && !advice.pendingCalls.empty();
     return !waiting.unplaced.empty() && !requestedOnly && !waiting.heldByTeamLimit;
 }
@@ -538,6 +545,7 @@
     leader.placementNeeded = false;
     leader.previousPlacementMs = leader.lastPlacementMs;
     leader.lastPlacementMs = now.monotonicMs;
+    deferSteps(leader, state, now);
     const std::vector<RankedStep> order = rankedSteps(leader, now);
     CandidatesByService candidatesByService = gatherCandidates(leader, now);
     if (candidatesByService.empty()) {
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -132,6 +132,9 @@
         refuse(token, model::Reason::BeyondTeamLimit, output);
         return;
     }
+    if (internal::refuseUnderLoad(leader, state, token, *record.spec, *queue, now, output)) {
+        return;
+    }
     const std::uint64_t neededBytes = job::acceptedBytes(*record.spec);
     if (!internal::hasRoomFor(leader, state, neededBytes)) {
         ++leader.counters.jobsWithoutRoom;
--- a/Source/model/reason.cpp
+++ b/Source/model/reason.cpp
@@ -84,6 +84,8 @@
     ReasonInfo{Reason::TooManyBodies, "too-many-bodies", 503, Later, "this host has no memory for another body; nothing was run"},
     ReasonInfo{Reason::TooManyConnections, "too-many-connections", 503, Later, "this host has too many open connections; nothing was run"},
     ReasonInfo{Reason::RequestTooSlow, "request-too-slow", 503, Later, "the request was not received in time; nothing was run"},
+    ReasonInfo{
+        Reason::Overloaded, "overloaded", 429, Later, "the accepted work lets this job complete later than three times its objective; nothing was stored"},
 };
 
 class ReasonCategory final : public std::error_category
--- a/Source/model/reason.h
+++ b/Source/model/reason.h
@@ -76,6 +76,7 @@
     TooManyBodies,
     TooManyConnections,
     RequestTooSlow,
+    Overloaded,
 };
 
 /** What the caller of a refused request may do. */
