deployment: Divide a saturated service among teams by weight

One team at 7.5 times its usual rate delayed the jobs of all teams alike: the order of waiting steps knew priorities and objectives only, and the failed attempts of one backlog used up a pass.

While work can't be placed, each team has a share of what was in use then: by weight, what a team doesn't want goes to the others, and one job on top protects small teams. Steps of a team beyond it follow those of the other teams, behind "too late" and before the priority. The shares are computed once per pass, the usage is compared at each step. Steps of teams within their shares are tried in each pass while another team is over its own. Failed attempts are counted per priority and team, 128 of all teams. Without teams in the plan nothing changes.

The bound is 300 ms, half of the shortest objective.

--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -2,6 +2,7 @@
 
 #include "model/reason.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <string_view>
 
@@ -64,6 +65,10 @@
         appendMetric(text, "team_limit_accelerators" + label, limits.most.accelerators);
     }
     appendMetric(text, "teams", leader.teams.size());
+    const auto overShare = std::count_if(leader.shareLimits.begin(), leader.shareLimits.end(), [&leader](const auto &entry) {
+        return deployment::internal::isOverShare(leader, entry.first);
+    });
+    appendMetric(text, "teams_over_share", static_cast<std::uint64_t>(overShare));
     appendMetric(text, "jobs_beyond_team_limit_total", leader.counters.jobsBeyondTeamLimit);
     appendMetric(text, "steps_held_by_team_limit_total", leader.counters.stepsHeldByTeamLimit);
 }
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -220,6 +220,7 @@
     std::vector<std::uint32_t> unplaced; ///< Indexes of the tasks without a run.
     std::uint32_t crashes = 0; ///< Largest number of crashes of one of them.
     std::string team; ///< Team of its job; empty for none.
+    model::Resources charge; ///< What each of its tasks counts against the limit of its team.
     bool heldByTeamLimit = false; ///< The latest attempt found that none of its tasks fits the limit of its team.
 };
 
@@ -338,6 +339,13 @@
     std::map<std::pair<std::string, std::string>, std::uint64_t> queuedCounts; ///< Number of jobs without a started task, by queue.
     std::set<std::uint64_t> queuedJobs; ///< Jobs counted in queuedCounts.
     std::map<std::string, policy::TeamLimits, std::less<>> teams; ///< The teams of the plan in force, by name.
+    /** Usage up to which each team is within its share, as a dominant share of shareCapacity; empty while all work can be placed or the plan has no teams. */
+    std::map<std::string, double, std::less<>> shareLimits;
+    model::Resources shareCapacity; ///< What the upstreams that got new runs in the latest pass have in all.
+    bool anyOverShare = false; ///< Whether a team was over its share when the latest pass began.
+    std::uint64_t lastFailureMs = 0; ///< Time of the latest failed attempt to place a step; 0 if there was none.
+    double fullUsage = 0; ///< What all teams used when work couldn't be placed, as a sum of dominant shares; the highest of the last seconds.
+    std::uint64_t fullUsageMs = 0; ///< Time of that.
     std::map<std::string, model::Resources, std::less<>> teamUsage; ///< What the runs of each team with runs are charged, by name; empty for no team.
     std::uint64_t nextCall = 1;
     std::unordered_map<std::string, double> allowedShares; ///< Smoothed share of requested upstreams that the advice service allows, by queue.
@@ -431,6 +439,9 @@
 std::size_t tasksWithinTeamLimit(const Leader &leader, const std::string &team, const wire::StepSpecT &step);
 bool isHeldByTeamLimit(const Leader &leader, const std::string &team, const wire::StepSpecT &step);
 std::optional<std::uint32_t> stepBeyondTeamLimit(const Leader &leader, const wire::JobSpecT &job);
+void updateShareLimits(Leader &leader, const Now &now);
+bool isOverShare(const Leader &leader, const std::string &team);
+void recordFailures(Leader &leader, const Now &now);
 std::string describeTeamUsage(const Leader &leader, const std::string &team);
 
 // leaderwaiting.cpp, leaderadvice.cpp and leaderplacing.cpp
--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -17,8 +17,11 @@
 
 /** Minimum remaining validity for a ticket to be used: committing the record and delivering the start take that long. */
 constexpr std::uint64_t ticketMarginMs = 200;
-/** Failed attempts per priority after which a pass tries no more steps: a backlog must not delay polls and starts. */
+/** Failed attempts per priority after which a pass tries no more steps: a backlog must not delay polls and starts. With teams it applies to each of them, so
+ * that the backlog of one doesn't use up the pass. */
 constexpr std::uint32_t maxFailuresPerPass = 32;
+/** Failed attempts per priority of all teams: as many as those of a few teams with a backlog. */
+constexpr std::uint32_t maxFailuresOfTeams = 4 * maxFailuresPerPass;
 /** Delay after the first failed attempt to place a step of the most urgent priority. */
 constexpr std::uint64_t urgentRetryMs = 12;
 /** Delay after the first failed attempt to place another step: each attempt visits all upstreams. */
@@ -350,10 +353,16 @@
 /** A waiting step and its rank. */
 struct RankedStep
 {
-    decltype(policy::waitingRank({}, 0)) rank;
+    /** Whether it is too late, whether its team is over its share, and its rank otherwise. */
+    std::tuple<int, bool, decltype(policy::waitingRank({}, 0))> rank;
     WaitingStep *waiting = nullptr;
 };
 
+bool precedes(const RankedStep &a, const RankedStep &b)
+{
+    return std::tie(a.rank, a.waiting->ref) < std::tie(b.rank, b.waiting->ref);
+}
+
 /** @return the steps that may be placed now, in the order of their attempts. */
 std::vector<RankedStep> rankedSteps(Leader &leader, const Now &now)
 {
@@ -364,15 +373,49 @@
         if (waiting.dueWallMs > now.wallMs) {
             leader.placementNeeded = true;
         } else if (!waiting.unplaced.empty()) {
-            order.push_back({policy::waitingRank(waiting.key, nowMs), &waiting});
+            const auto rank = policy::waitingRank(waiting.key, nowMs);
+            order.push_back({{std::get<0>(rank), leader.anyOverShare && isOverShare(leader, waiting.team), rank}, &waiting});
         }
     }
-    std::sort(order.begin(), order.end(), [](const RankedStep &a, const RankedStep &b) {
-        return std::tie(a.rank, a.waiting->ref) < std::tie(b.rank, b.waiting->ref);
-    });
+    std::sort(order.begin(), order.end(), precedes);
     return order;
 }
 
+/** The steps of a pass. Those of a team that comes to be over its share by what the pass has placed move behind those of the other teams. */
+struct StepSequence
+{
+    std::vector<RankedStep> order;
+    std::vector<RankedStep> moved; ///< In their order, too.
+    std::size_t nextInOrder = 0;
+    std::size_t nextMoved = 0;
+};
+
+/** @return the next step to attempt; null if there is none. */
+WaitingStep *takeNext(const Leader &leader, StepSequence &steps)
+{
+    while (steps.nextInOrder < steps.order.size()) {
+        RankedStep &entry = steps.order[steps.nextInOrder];
+        if (steps.nextMoved < steps.moved.size() && precedes(steps.moved[steps.nextMoved], entry)) {
+            break;
+        }
+        ++steps.nextInOrder;
+        bool &overShare = std::get<1>(entry.rank);
+        if (overShare || leader.shareLimits.empty() || !isOverShare(leader, entry.waiting->team)) {
+            return entry.waiting;
+        }
+        overShare = true;
+        steps.moved.push_back(entry);
+    }
+    return steps.nextMoved < steps.moved.size() ? steps.moved[steps.nextMoved++].waiting : nullptr;
+}
+
+/** @return whether a step waits before its next attempt. While a team is over its share, the others don't: it would take what becomes free meanwhile. */
+bool pausesBeforeRetry(const Leader &leader, const WaitingStep &waiting, const Advice &advice, const Now &now)
+{
+    return now.monotonicMs < waiting.nextAttemptMs && advice.answeredMs < leader.previousPlacementMs
+        && (!leader.anyOverShare || isOverShare(leader, waiting.team));
+}
+
 /** @return whether the upstreams have spare capacity for a step that can't meet its objective any more. */
 bool hasSpareCapacity(ServiceCandidates &serviceCandidates)
 {
@@ -411,7 +454,7 @@
     // Without a valid ticket an attempt fails until the reply arrives. A backlog whose tickets expired must not use up the pass.
     const bool ticketless = queue->advised && now.monotonicMs + ticketMarginMs >= advice.ticketsValidUntilMs;
     const bool awaitsAdvice = ticketless && !advice.pendingCalls.empty();
-    if (awaitsAdvice || (now.monotonicMs < waiting.nextAttemptMs && advice.answeredMs < leader.previousPlacementMs)) {
+    if (awaitsAdvice || pausesBeforeRetry(leader, waiting, advice, now)) {
         leader.placementNeeded = leader.placementNeeded || !awaitsAdvice;
         markReserved(waiting, serviceCandidates.candidates);
         return false;
@@ -527,23 +570,33 @@
     leader.placementNeeded = false;
     leader.previousPlacementMs = leader.lastPlacementMs;
     leader.lastPlacementMs = now.monotonicMs;
-    const std::vector<RankedStep> order = rankedSteps(leader, now);
+    updateShareLimits(leader, now);
+    StepSequence steps{rankedSteps(leader, now), {}};
     CandidatesByService candidatesByService = gatherCandidates(leader, now);
     if (candidatesByService.empty()) {
-        leader.placementNeeded = leader.placementNeeded || !order.empty();
+        leader.placementNeeded = leader.placementNeeded || !steps.order.empty();
         return;
     }
     wire::RunsPlacedT record;
     std::map<std::uint32_t, std::uint32_t> failures; ///< Failed attempts in this pass, by priority.
-    for (const RankedStep &entry : order) {
-        WaitingStep &waiting = *entry.waiting;
+    std::map<std::pair<std::uint32_t, std::string_view>, std::uint32_t> failuresByTeam; ///< The same by priority and team.
+    const bool hasTeams = !leader.teams.empty();
+    bool anyFailed = false;
+    while (WaitingStep *next = takeNext(leader, steps)) {
+        WaitingStep &waiting = *next;
         std::uint32_t &failed = failures[waiting.key.priority];
-        if (failed >= maxFailuresPerPass) {
+        std::uint32_t &failedOfTeam = hasTeams ? failuresByTeam[{waiting.key.priority, waiting.team}] : failed;
+        if (failedOfTeam >= maxFailuresPerPass || failed >= maxFailuresOfTeams) {
             leader.placementNeeded = true; // It is tried in a later pass while those ranked above wait for their retry.
         } else if (failsToPlace(leader, state, waiting, candidatesByService, now, record, output)) {
             ++failed;
+            failedOfTeam += hasTeams ? 1 : 0;
+            anyFailed = true;
         }
     }
+    if (anyFailed) {
+        recordFailures(leader, now);
+    }
     if (!record.runs.empty()) {
         record.atMs = now.wallMs;
         output.proposals.push_back(wire::encodeChange(std::move(record)));
--- a/Source/deployment/leaderwaiting.cpp
+++ b/Source/deployment/leaderwaiting.cpp
@@ -165,6 +165,7 @@
         waiting.ref = ref;
         waiting.name = stepName(job.spec.id, ref.occurrence, ref.step);
         waiting.team = job.spec.team;
+        waiting.charge = chargePerTask(*job.spec.steps[ref.step]);
         waiting.waitingSinceMs = now.monotonicMs;
         waiting.dueWallMs = dueTimeMs(job, ref.occurrence);
         waiting.key = waitingKey(queue, job, ref.step, waiting.dueWallMs, now);
--- a/Source/policy/teamshare.cpp
+++ b/Source/policy/teamshare.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
+#include <numeric>
 
 namespace rosemaryturn::policy
 {
@@ -43,4 +45,36 @@
 {
     return std::max({share(used.cpuMillis, total.cpuMillis), share(used.memoryMb, total.memoryMb), share(used.accelerators, total.accelerators)});
 }
+
+double usedByTeams(std::span<const TeamDemand> teams)
+{
+    return std::accumulate(teams.begin(), teams.end(), 0.0, [](double sum, const TeamDemand &team) {
+        return sum + team.used;
+    });
+}
+
+double fairLevel(std::span<const TeamDemand> teams, double capacity)
+{
+    std::vector<TeamDemand> order(teams.begin(), teams.end());
+    std::sort(order.begin(), order.end(), [](const TeamDemand &a, const TeamDemand &b) {
+        return (a.used + a.waiting) * b.weight < (b.used + b.waiting) * a.weight;
+    });
+    double left = capacity;
+    double weights = std::accumulate(order.begin(), order.end(), 0.0, [](double sum, const TeamDemand &team) {
+        return sum + team.weight;
+    });
+    for (const TeamDemand &team : order) {
+        if ((team.used + team.waiting) * weights > left * team.weight) {
+            return left / weights;
+        }
+        left -= team.used + team.waiting;
+        weights -= team.weight;
+    }
+    return std::numeric_limits<double>::infinity();
+}
+
+double shareLimit(const TeamDemand &team, double level)
+{
+    return team.weight * level + std::max(minJobShare, team.largestStep);
+}
 }
--- a/Source/policy/teamshare.h
+++ b/Source/policy/teamshare.h
@@ -3,6 +3,8 @@
 #include "model/resources.h"
 
 #include <cstddef>
+#include <span>
+#include <vector>
 
 /** Hard limits of teams and their shares of the capacity. */
 namespace rosemaryturn::policy
@@ -26,4 +28,28 @@
 
 /** @param used an amount. @param total the capacity. @return the largest share of the capacity of any resource. */
 double dominantShare(const model::Resources &used, const model::Resources &total);
+
+/** What a team uses and wants, as dominant shares of the capacity. */
+struct TeamDemand
+{
+    double weight = 1;
+    double used = 0;
+    double waiting = 0; ///< Of its waiting work that its limit admits.
+    double largestStep = 0; ///< Of its largest waiting step.
+};
+
+/** Share of the capacity that a job of a small team may take, at least: teams are bursty, and one job may take this much at once. */
+constexpr double minJobShare = 0.016;
+
+/** @param teams the teams. @return the sum of what they use. */
+double usedByTeams(std::span<const TeamDemand> teams);
+
+/**
+ * @param teams the teams. @param capacity what they can use together, as a sum of dominant shares. @return the usage by weight up to which each team is within
+ * its share: the capacity is divided by weight, and what a team doesn't want goes to the others. Infinite if every team gets what it wants.
+ */
+double fairLevel(std::span<const TeamDemand> teams, double capacity);
+
+/** @param team a team. @param level result of fairLevel(). @return the usage up to which the team is within its share: the share and one job beside it. */
+double shareLimit(const TeamDemand &team, double level);
 }
--- a/Tests/deployment/teams.cpp
+++ b/Tests/deployment/teams.cpp
@@ -2,7 +2,10 @@
 #include "deployment/leadertesting.h"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -298,3 +301,138 @@
     }
     fakes::checkGuarantees(fleet);
 }
+
+/** The backlog of one team used up the attempts of each pass, so that steps of other teams weren't tried. */
+TEST_CASE(Teams, TheBacklogOfOneTeamLeavesAttemptsToOthers)
+{
+    LeaderTest test = makeTeamLeader(0);
+    putTeams(test, {team("a", 0), team("b", 0)});
+    accept(test, "part", makeStep(2, 9000, 60000), "b"); // On each upstream 7 cores are left.
+    pass(test, placingMs);
+    CHECK_EQUAL(std::size_t{2}, takeStarts(test).size());
+    constexpr int backlog = 100;
+    for (int i = 0; i < backlog; ++i) {
+        accept(test, "wide" + std::to_string(i), makeStep(1, 8000, 500), "a");
+    }
+    accept(test, "narrow", makeStep(1, 1000, 500), "b");
+    pass(test, 20);
+    CHECK_EQUAL(std::size_t{1}, takeStarts(test).size());
+}
+
+namespace
+{
+constexpr int teamCount = 20;
+
+std::uint64_t median(std::vector<std::uint64_t> values)
+{
+    CHECK(!values.empty());
+    std::sort(values.begin(), values.end());
+    return values[values.size() / 2];
+}
+
+/** Median times from a submission to the first start of a task. */
+struct StartTimes
+{
+    std::uint64_t hotMs = 0; ///< Of the first team.
+    std::uint64_t othersMs = 0;
+};
+
+/**
+ * Runs a deployment at 86 percent of its processors while all teams send at their usual rates.
+ * @param hotPercent rate of the first team, in percent of its usual one. @return the times; of jobs without a start, the time that they have waited.
+ */
+StartTimes startTimes(std::uint64_t hotPercent)
+{
+    // 8 upstreams of 16 cores; a job takes 2 cores (1.6 percent) for 2.25 s, with the time for its start and for the report of its end. So a job each 820 ms
+    // of each of 20 teams takes 110 cores.
+    constexpr std::uint64_t intervalMs = 820;
+    constexpr std::uint64_t sendingMs = 40000;
+    constexpr std::uint64_t warmUpMs = 10000;
+    constexpr std::uint64_t stepMs = 5;
+    fakes::Fleet fleet(fakes::withUpstreams(8));
+    for (int i = 0; i < teamCount; ++i) {
+        fleet.teams.push_back(team("t" + std::to_string(i), 0));
+    }
+    fakes::prepare(fleet);
+    const std::uint64_t beginMs = fleet.nowMs;
+    std::vector<std::mt19937_64> random;
+    std::vector<std::uint64_t> nextMs;
+    const auto pauseMs = [&](int index) {
+        const std::uint64_t meanMs = index == 0 ? intervalMs * 100 / hotPercent : intervalMs;
+        return 1 + random[static_cast<std::size_t>(index)]() % (2 * meanMs);
+    };
+    for (int i = 0; i < teamCount; ++i) {
+        random.emplace_back(i);
+        nextMs.push_back(beginMs + pauseMs(i));
+    }
+    std::map<std::string, std::pair<int, std::uint64_t>> sent; ///< Team and time, by job.
+    while (fleet.nowMs < beginMs + sendingMs) {
+        for (int i = 0; i < teamCount; ++i) {
+            for (std::uint64_t &dueMs = nextMs[static_cast<std::size_t>(i)]; dueMs <= fleet.nowMs; dueMs += pauseMs(i)) {
+                const std::string id = "j" + std::to_string(sent.size());
+                sent[id] = {i, fleet.nowMs};
+                fleet.submit("/0/" + id, {makeStep(2, 1000, 2000)}, "t" + std::to_string(i));
+            }
+        }
+        fleet.run(stepMs);
+    }
+    std::vector<std::uint64_t> hot;
+    std::vector<std::uint64_t> others;
+    for (const auto &[id, job] : sent) {
+        const auto started = fleet.firstStartMs.find(id);
+        const std::uint64_t waitedMs = (started == fleet.firstStartMs.end() ? fleet.nowMs : started->second) - job.second;
+        if (job.second >= beginMs + warmUpMs) {
+            (job.first == 0 ? hot : others).push_back(waitedMs);
+        }
+    }
+    fakes::checkGuarantees(fleet);
+    return {median(hot), median(others)};
+}
+}
+
+/** A team that sent 7.5 times its usual rate delayed the jobs of all teams alike. */
+TEST_CASE(Teams, ATeamThatSendsTooMuchDelaysItsOwnJobs)
+{
+    constexpr std::uint64_t maxGrowthMs = 300; // Half of the shortest objective. The capacity is full, so a job waits for some ends of tasks that last 2 s.
+    constexpr std::uint64_t minHotGrowthMs = 1000;
+    const StartTimes usual = startTimes(100);
+    const StartTimes overloaded = startTimes(750);
+    const std::string text = "others " + std::to_string(usual.othersMs) + " to " + std::to_string(overloaded.othersMs) + " ms, hot "
+        + std::to_string(usual.hotMs) + " to " + std::to_string(overloaded.hotMs) + " ms";
+    CPPUNIT_ASSERT_MESSAGE(text, overloaded.othersMs <= usual.othersMs + maxGrowthMs);
+    CPPUNIT_ASSERT_MESSAGE(text, overloaded.hotMs >= usual.hotMs + minHotGrowthMs);
+}
+
+/** While all teams have more work than capacity, they use it by weight. */
+TEST_CASE(Teams, SaturatedCapacityIsDividedByWeight)
+{
+    fakes::Fleet fleet(fakes::withUpstreams(8));
+    fleet.teams = {team("a", 0, 1), team("b", 0, 2), team("c", 0, 5)};
+    fakes::prepare(fleet);
+    constexpr int jobs = 400;
+    for (int i = 0; i < jobs; ++i) {
+        for (const std::string name : {"a", "b", "c"}) {
+            fleet.submit("/0/" + name + std::to_string(i), {makeStep(2, 1000, 1000)}, name);
+        }
+    }
+    fleet.run(3000);
+    std::map<std::string, std::uint64_t> usedMillis;
+    std::uint64_t totalMillis = 0;
+    constexpr int samples = 40;
+    for (int i = 0; i < samples; ++i) {
+        fleet.run(100);
+        for (const auto &[name, usage] : fleet.leader()->host->leader.teamUsage) {
+            usedMillis[name] += usage.cpuMillis;
+            totalMillis += usage.cpuMillis;
+        }
+    }
+    const auto share = [&](const std::string &name) {
+        return static_cast<double>(usedMillis[name]) / static_cast<double>(totalMillis);
+    };
+    const std::string text = "a " + std::to_string(share("a")) + " b " + std::to_string(share("b")) + " c " + std::to_string(share("c"));
+    constexpr double tolerance = 4 * 2.0 / 128; // Two teams may have a job of 2 cores beside their share, and place one more until they have it.
+    CPPUNIT_ASSERT_MESSAGE(text, std::abs(share("a") - 1.0 / 8) < tolerance);
+    CPPUNIT_ASSERT_MESSAGE(text, std::abs(share("b") - 2.0 / 8) < tolerance);
+    CPPUNIT_ASSERT_MESSAGE(text, std::abs(share("c") - 5.0 / 8) < tolerance);
+    fakes::checkGuarantees(fleet);
+}
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -797,6 +797,7 @@
     m_lastStarts[step.gang ? stepNameOf(call.job, call.task) : name] = ++starts;
     traceLine(upstream.id + " start " + name + " run " + std::to_string(call.run) + " fence " + std::to_string(call.fence));
     upstream.runs[name] = run;
+    firstStartMs.try_emplace(call.job, nowMs);
     checkTeamOf(call.job);
     startCompleteGang(upstream, run);
     reply.status = deployment::CallStatus::Done;
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -236,6 +236,7 @@
     std::vector<std::string> violations; ///< Guarantees that were violated.
     bool trace = false; ///< Writes decisions, orders and ends to the standard error stream.
     std::uint64_t starts = 0;
+    std::map<std::string, std::uint64_t> firstStartMs; ///< Time of the first start of a task of each job, by id.
     std::uint64_t aloneEnds = 0;
     std::uint64_t startsSent = 0; ///< Number of starts that hosts have sent, including repeated ones.
     std::uint64_t doneEndsListed = 0; ///< Number of tasks that some poll reply listed as done.
