--- a/Source/policy/waitingorder.h
+++ b/Source/policy/waitingorder.h
@@ -60,7 +60,7 @@
  * @param key a waiting step. @param nowMs current time.
  * @return the rank. Steps that are too late rank last. The others are ordered by the priority of their queue; within a queue steps that can be in time precede
  * late ones, and the earliest latest start time comes first. With byValue, deferred steps rank before those that are too late only, the others are ordered by
- * the latest start time at which they keep their value, and of those that are too late the oldest comes first.
+ * priority, then by the latest start time at which they keep their value; of those that are too late the oldest comes first.
  */
 WaitingRank waitingRank(const WaitingKey &key, std::int64_t nowMs);
 }
