--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -597,11 +597,24 @@
     }
 }
 
+/** Adds teams to the next plan. */
+void addTeams(MixedSchedule &schedule, std::uint32_t count)
+{
+    for (std::uint32_t i = 0; i < count; ++i) {
+        schedule.fleet.teams.emplace_back().name = "t" + std::to_string(i);
+        schedule.fleet.teams.back().weight = 1;
+    }
+    drawTeamLimits(schedule);
+}
+
 /** Changes the limits of teams, or disrupts the leader while placements of it are being recorded, or neither. */
 void disturbTeams(MixedSchedule &schedule, bool advised)
 {
     constexpr std::uint64_t stepMs = 2;
     constexpr std::uint64_t maxWaitMs = 600;
+    if (schedule.fleet.teams.empty()) {
+        return;
+    }
     const std::uint64_t kind = schedule.teams() % 4;
     if (kind < 2) {
         drawTeamLimits(schedule);
@@ -628,6 +641,9 @@
 /** Raises the limits so far that each accepted job can end. */
 void raiseTeamLimits(MixedSchedule &schedule, bool advised)
 {
+    if (schedule.fleet.teams.empty()) {
+        return;
+    }
     for (wire::TeamSpecT &team : schedule.fleet.teams) {
         team.limitCpuMillis = 0;
         team.limitMemoryMb = 0;
@@ -682,11 +698,7 @@
     options.upstreamBehavior = variation.behavior;
     MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}, 0, 0, std::mt19937_64(seed), std::mt19937_64(seed)};
     Fleet &fleet = schedule.fleet;
-    for (std::uint32_t i = 0; i < teams; ++i) {
-        fleet.teams.emplace_back().name = "t" + std::to_string(i);
-        fleet.teams.back().weight = 1;
-    }
-    drawTeamLimits(schedule);
+    addTeams(schedule, teams);
     fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
     waitUntilReady(fleet);
     const bool advised = draw(schedule, 2) == 0;
@@ -719,15 +731,11 @@
         if (hazards && schedule.hazards() % 2 == 0) {
             hazardFaults[schedule.hazards() % hazardFaults.size()](schedule);
         }
-        if (teams > 0) {
-            disturbTeams(schedule, advised);
-        }
+        disturbTeams(schedule, advised);
         advance(schedule, 100 + draw(schedule, 700));
     }
     heal(schedule);
-    if (teams > 0) {
-        raiseTeamLimits(schedule, advised);
-    }
+    raiseTeamLimits(schedule, advised);
     constexpr std::uint64_t drainBacklogMs = 40000;
     fleet.run(drainBacklogMs);
     fleet.checkFailedJobs();
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -797,7 +797,6 @@
     m_lastStarts[step.gang ? stepNameOf(call.job, call.task) : name] = ++starts;
     traceLine(upstream.id + " start " + name + " run " + std::to_string(call.run) + " fence " + std::to_string(call.fence));
     upstream.runs[name] = run;
-    firstStartMs.try_emplace(call.job, nowMs);
     checkTeamOf(call.job);
     startCompleteGang(upstream, run);
     reply.status = deployment::CallStatus::Done;
@@ -1012,6 +1011,7 @@
 
 void Fleet::checkStart(const FakeUpstream &upstream, const deployment::UpstreamCall &call, const wire::StepSpecT &step)
 {
+    firstStartMs.try_emplace(call.job, nowMs);
     const std::string name = nameOf(call.job, call.task);
     std::uint64_t cpu = step.cpuMillis;
     std::uint64_t memory = step.memoryMb;
