--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -648,6 +648,7 @@
         team.limitCpuMillis = 0;
         team.limitMemoryMb = 0;
     }
+    schedule.fleet.reconnectHosts(); // An entry host whose connection was lost in a partition would never find the leader.
     // The hosts have just been started: there may be no leader yet, in which case the operator sends the plan again.
     constexpr int tries = 3;
     bool accepted = false;
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -288,6 +288,15 @@
     }
 }
 
+void Fleet::reconnectHosts()
+{
+    for (FakeHost &host : hosts) {
+        if (host.alive) {
+            connectAll(host, true);
+        }
+    }
+}
+
 void Fleet::onHost(const std::string &id, std::uint64_t generation, std::function<void(FakeHost &, deployment::HostOutput &)> action)
 {
     FakeHost &target = host(id);
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -204,6 +204,8 @@
     void start(FakeHost &host);
     /** Breaks or restores the link between two ends. @param a a host. @param b a host or an upstream. @param partitioned whether the link is broken. */
     void setPartitioned(const std::string &a, const std::string &b, bool partitioned);
+    /** Connects the living hosts anew, as they dial each other after a partition; by itself a fake host connects only when it is started. */
+    void reconnectHosts();
     /** Suspends the process of a host; its clock continues. @param host the host. @param ms the time. */
     void suspend(FakeHost &host, std::uint64_t ms);
     /** Kills an upstream and all its runs. @param upstream the upstream. */
