transport: Close no connection for another one that is as much in use

The default limit is 1,000 at most now; an idle connection is closed for a new one after 5 s only, and a fruitless search isn't repeated for 100 ms.

--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -21,7 +21,8 @@
 constexpr std::uint64_t bytesPerConnection = std::uint64_t{64} * 1024;
 constexpr std::uint64_t bytesPerMb = std::uint64_t{1} << 20U;
 constexpr std::uint64_t minConnections = 64;
-constexpr std::uint64_t maxConnections = 10000;
+/** Upstreams keep connections for their heartbeats. More of them than this on one host fill its processor; those that are refused go to another host. */
+constexpr std::uint64_t maxConnections = 1000;
 /** A body of at most this size counts as small: it is admitted when large ones are not. */
 constexpr std::uint64_t smallBodyBytes = std::uint64_t{16} * 1024;
 /** A body of at most this size is parsed without a permit: 300 connections that do so at once take 48 MB at most. */
@@ -34,6 +35,11 @@
 constexpr std::uint64_t trimBytes = std::uint64_t{4} << 20U;
 /** Time without progress after which an incomplete request may be closed for another one. */
 constexpr std::uint64_t idleMs = 1000;
+/** Idle time between requests after which a connection may be closed for a new one. Heartbeats keep theirs in use at shorter intervals: closing one of them for
+ * another would make all of them connect again and again. */
+constexpr std::uint64_t unusedMs = 5000;
+/** Time for which no further connection to close is searched for after none was found; a search visits all connections. */
+constexpr std::uint64_t searchPauseMs = 100;
 constexpr std::chrono::milliseconds parseWait{5000};
 constexpr std::chrono::milliseconds expiryInterval{1000};
 constexpr std::uint64_t minBytesPerSecond = 8192;
@@ -137,8 +143,9 @@
     auto owned = std::make_unique<ClientConnection>();
     ClientConnection &connection = *owned;
     const std::lock_guard lock(m_mutex);
-    ClientConnection *victim = m_open >= m_limits.maxConnections ? connectionVictim(nowMs) : nullptr;
-    const bool full = m_open >= m_limits.maxConnections && victim == nullptr;
+    const bool atLimit = m_open >= m_limits.maxConnections;
+    ClientConnection *victim = atLimit && nowMs >= m_nextSearchMs ? connectionVictim(nowMs) : nullptr;
+    const bool full = atLimit && victim == nullptr;
     if (victim != nullptr) {
         close(*victim, Reason::TooManyConnections);
     }
@@ -326,16 +333,20 @@
         }
         return connection.progressMs + idleMs <= nowMs ? 0 : 2;
     };
+    const auto inUse = [nowMs](const ClientConnection &connection) {
+        return connection.phase == ClientPhase::Handling || (connection.phase == ClientPhase::Idle && connection.progressMs + unusedMs > nowMs);
+    };
     ClientConnection *victim = nullptr;
     for (const auto &[key, owned] : m_connections) {
         ClientConnection &connection = *owned;
-        if (connection.closed || connection.phase == ClientPhase::Handling || connection.server != busiest->first) {
+        if (connection.closed || inUse(connection) || connection.server != busiest->first) {
             continue;
         }
         if (victim == nullptr || std::pair(rank(connection), connection.progressMs) < std::pair(rank(*victim), victim->progressMs)) {
             victim = &connection;
         }
     }
+    m_nextSearchMs = victim == nullptr ? nowMs + searchPauseMs : nowMs;
     return victim;
 }
 
--- a/Source/transport/clienttable.h
+++ b/Source/transport/clienttable.h
@@ -84,7 +84,7 @@
     /** @return what the clients use. */
     ClientUsage usage() const;
 
-    /** Adds a connection; at the limit, closes another one or, if all are handled, this one. @param server number of its server. @param descriptor its
+    /** Adds a connection; at the limit, closes another one or, if all are in use, this one. @param server number of its server. @param descriptor its
      * socket. @return the connection. */
     ClientConnection *add(int server, int descriptor);
     /** Removes a connection. @param connection the connection. */
@@ -127,6 +127,7 @@
     std::unordered_map<const ClientConnection *, std::unique_ptr<ClientConnection>> m_connections;
     std::map<int, std::uint64_t> m_openByServer;
     std::uint64_t m_open = 0;
+    std::uint64_t m_nextSearchMs = 0; ///< No connection to close is searched for before this time.
     std::uint64_t m_bodyBytes = 0;
     std::uint64_t m_closedSinceLog = 0;
     std::uint64_t m_refusedSinceLog = 0;
--- a/Tests/transport/clienttable.cpp
+++ b/Tests/transport/clienttable.cpp
@@ -170,6 +170,9 @@
     CHECK(!idle.closed);
     fixture.table.beginRequest(next, "/");
     CHECK(fixture.table.beginHandling(next));
+    CHECK(fixture.connect().closed); // The idle connection may be one between heartbeats.
+    CHECK(!idle.closed);
+    fixture.nowMs += 3000;
     ClientConnection &last = fixture.connect();
     CHECK(idle.closed);
     CHECK(!next.closed);
