transport: Refuse connections at the limit before a thread is started

The accept callback refuses them now while all connections are known to be in use; the search for one that may be closed goes on each 100 ms.

--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -136,6 +136,13 @@
     return usage;
 }
 
+bool ClientTable::acceptsConnections() const
+{
+    const std::uint64_t nowMs = m_clock();
+    const std::lock_guard lock(m_mutex);
+    return m_open < m_limits.maxConnections || nowMs >= m_nextSearchMs;
+}
+
 ClientConnection *ClientTable::add(int server, int descriptor)
 {
     const std::uint64_t nowMs = m_clock();
--- a/Source/transport/clienttable.h
+++ b/Source/transport/clienttable.h
@@ -84,6 +84,8 @@
     /** @return what the clients use. */
     ClientUsage usage() const;
 
+    /** @return whether a new connection may be added; false at the limit while all connections are known to be in use. */
+    bool acceptsConnections() const;
     /** Adds a connection; at the limit, closes another one or, if all are in use, this one. @param server number of its server. @param descriptor its
      * socket. @return the connection. */
     ClientConnection *add(int server, int descriptor);
--- a/Source/transport/httpserver.cpp
+++ b/Source/transport/httpserver.cpp
@@ -140,6 +140,12 @@
     int listener = -1;
     int number = 0; ///< Number of this server in the client table.
 
+    /** Refuses a connection before a thread is started for it. */
+    static MHD_Result acceptConnection(void *data, const sockaddr *, socklen_t)
+    {
+        return static_cast<Implementation *>(data)->clients->acceptsConnections() ? MHD_YES : MHD_NO;
+    }
+
     static void notifyConnection(void *data, MHD_Connection *connection, void **context, MHD_ConnectionNotificationCode code)
     {
         ClientTable &clients = *static_cast<Implementation *>(data)->clients;
@@ -327,7 +333,7 @@
         {MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes, nullptr},
         {MHD_OPTION_END, 0, nullptr},
     };
-    server.daemon = MHD_start_daemon(flags, port, nullptr, nullptr, &Implementation::receive, &server, MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    server.daemon = MHD_start_daemon(flags, port, &Implementation::acceptConnection, &server, &Implementation::receive, &server, MHD_OPTION_ARRAY, options, MHD_OPTION_END);
     return server.daemon != nullptr ? std::error_code{} : TransportError::ListenFailed;
 }
 
