--- a/Source/transport/httpserver.cpp
+++ b/Source/transport/httpserver.cpp
@@ -333,7 +333,8 @@
         {MHD_OPTION_THREAD_STACK_SIZE, threadStackBytes, nullptr},
         {MHD_OPTION_END, 0, nullptr},
     };
-    server.daemon = MHD_start_daemon(flags, port, &Implementation::acceptConnection, &server, &Implementation::receive, &server, MHD_OPTION_ARRAY, options, MHD_OPTION_END);
+    server.daemon = MHD_start_daemon(
+        flags, port, &Implementation::acceptConnection, &server, &Implementation::receive, &server, MHD_OPTION_ARRAY, options, MHD_OPTION_END);
     return server.daemon != nullptr ? std::error_code{} : TransportError::ListenFailed;
 }
 
