deployment: Count cores in one function

The overload control divided by the thousandths of a core in three places with a constant each. Same results but for the rounding of the widest step's cores. Deployment, overload and policy tests, formatter and linter pass.

--- a/Source/deployment/leaderoverload.cpp
+++ b/Source/deployment/leaderoverload.cpp
@@ -14,11 +14,16 @@
 /** Time after a change of leader in which nothing is refused: upstreams are being polled, and the runs of earlier leaders still occupy them. */
 constexpr std::uint64_t settlingMs = 5000;
 
+double coresOf(const model::Resources &resources)
+{
+    constexpr double millisPerCore = 1000;
+    return static_cast<double>(resources.cpuMillis) / millisPerCore;
+}
+
 /** @return the core-milliseconds of a task; 0 if it runs until its job is cancelled. */
 double taskWorkMs(const wire::StepSpecT &step)
 {
-    constexpr double millisPerCore = 1000;
-    return step.longRunning ? 0 : static_cast<double>(resourcesPerTask(step).cpuMillis) / millisPerCore * step.estimatedMs;
+    return step.longRunning ? 0 : coresOf(resourcesPerTask(step)) * step.estimatedMs;
 }
 
 /** @return the core-milliseconds of an occurrence. */
@@ -188,12 +193,11 @@
         service.load.freeCores = 0;
         service.jobs.clear();
     }
-    constexpr double millisPerCore = 1000;
     for (const auto &[number, upstreamState] : leader.upstreams) {
         if (mayPlaceOn(leader, upstreamState, now)) {
             policy::ServiceLoad &load = leader.overload.services[upstreamState.registration.service].load;
-            load.totalCores += static_cast<double>(upstreamState.capacity.cpuMillis) / millisPerCore;
-            load.freeCores += static_cast<double>(upstream::freeCapacity(upstreamState).cpuMillis) / millisPerCore;
+            load.totalCores += coresOf(upstreamState.capacity);
+            load.freeCores += coresOf(upstream::freeCapacity(upstreamState));
         }
     }
     const auto nowMs = static_cast<std::int64_t>(now.monotonicMs);
@@ -237,8 +241,7 @@
     }
     double widestCores = 0;
     for (const auto &step : spec.steps) {
-        constexpr double millisPerCore = 1000;
-        widestCores = std::max(widestCores, step->count * static_cast<double>(resourcesPerTask(*step).cpuMillis) / millisPerCore);
+        widestCores = std::max(widestCores, step->count * coresOf(resourcesPerTask(*step)));
     }
     const policy::ServiceLoad &load = service->second.load;
     const double workMs = workOf(spec);
