deployment: Refuse ids of jobs and upstreams that aren't plain keys

Cause: the id was taken from the path without a check, and the encoder of the calls to upstreams and to the advice service throws for bytes that aren't UTF-8, on the control thread. Ids of upstreams take the same way.

Ids are plain keys now, as in the other scope: a request with another one is refused with bad-key before it reaches the log. Job bodies were ruled out: the parser accepts UTF-8 only.

--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -1,5 +1,6 @@
 #include "deployment/leader.h"
 #include "job/footprint.h"
+#include "model/key.h"
 
 #include <algorithm>
 #include <utility>
@@ -100,7 +101,7 @@
         return;
     }
     const std::string &id = target.rest;
-    if (id.empty() || !request.job) {
+    if (!model::isPlainKey(id) || !request.job) {
         refuse(token, model::Reason::BadKey, output);
         return;
     }
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -1,4 +1,5 @@
 #include "deployment/leader.h"
+#include "model/key.h"
 
 #include <algorithm>
 #include <functional>
@@ -344,8 +345,12 @@
 
 void handleHeartbeat(Leader &leader, const job::State &state, Token token, const wire::UpstreamBeatT &beat, const Now &now, LeaderOutput &output)
 {
-    output.replies.push_back({token, {}});
     const wire::UpstreamSeenT &seen = *beat.seen;
+    if (!model::isPlainKey(seen.id)) {
+        refuse(token, model::Reason::BadKey, output);
+        return;
+    }
+    output.replies.push_back({token, {}});
     if (!isOfUsableUpstream(leader, state, seen)) {
         ++leader.counters.badHeartbeats;
         return;
--- a/Source/transport/requestjson.cpp
+++ b/Source/transport/requestjson.cpp
@@ -1,5 +1,6 @@
 #include "transport/requestjson.h"
 
+#include "model/key.h"
 #include "model/task.h"
 #include "telemetry/metrics.h"
 
@@ -17,7 +18,6 @@
 using config::ObjectReader;
 using Json = nlohmann::json;
 
-constexpr std::size_t maxKeyLength = 200;
 constexpr std::size_t maxNameLength = 100;
 constexpr std::size_t maxPayloadLength = 16U << 20U;
 constexpr std::uint64_t maxCpuMillis = 10'000'000;
@@ -54,7 +54,7 @@
 
 std::string readKey(ObjectReader &reader, const char *name)
 {
-    std::string key = reader.requiredText(name, maxKeyLength);
+    std::string key = reader.requiredText(name, model::maxKeyLength);
     if (!key.empty() && !isValidKey(key)) {
         reader.addError(name, model::Reason::BadKey, std::string(model::reasonInfo(model::Reason::BadKey).text));
     }
@@ -208,12 +208,7 @@
     const std::size_t at = text.find('@');
     const std::string_view name = text.substr(0, at);
     const std::string_view home = at == std::string_view::npos ? std::string_view("x") : text.substr(at + 1);
-    const auto isPlain = [](std::string_view part) {
-        return !part.empty() && std::all_of(part.begin(), part.end(), [](unsigned char character) {
-            return std::isalnum(character) != 0 || character == '.' || character == '_' || character == ':' || character == '-';
-        });
-    };
-    return text.size() <= maxKeyLength && isPlain(name) && isPlain(home);
+    return text.size() <= model::maxKeyLength && model::isPlainKey(name) && model::isPlainKey(home);
 }
 
 wire::RequestT readSubmission(std::string_view body, const std::string &environment, std::vector<FieldError> &errors)
--- a/Tests/deployment/keys.cpp
+++ b/Tests/deployment/keys.cpp
@@ -102,6 +102,35 @@
     CHECK(call(test, Operation::JobQuery, "/0/open", "kb") == Reason::CredentialUnknown);
 }
 
+/** Such ids reached upstreams and the advice service in JSON texts, whose encoder ended the process. */
+TEST_CASE(Keys, IdsThatAreNotPlainKeysAreRefused)
+{
+    LeaderTest test;
+    beginLeading(test, 1);
+    putTeams(test, {"kb"});
+    for (const std::string &id : {std::string("\xff\xfe") + "5a01c3d97e21", std::string("a\0b", 3), std::string("a b"), std::string(201, 'a')}) {
+        wire::RequestT job;
+        job.operation = Operation::SubmitJob;
+        job.service = "q";
+        job.path = "/public/" + id;
+        job.job = std::make_unique<wire::JobSpecT>();
+        wire::RequestT heartbeat;
+        heartbeat.operation = Operation::UpstreamBeat;
+        heartbeat.beat = std::make_unique<wire::UpstreamBeatT>();
+        heartbeat.beat->seen = std::make_unique<wire::UpstreamSeenT>();
+        heartbeat.beat->seen->id = id;
+        LeaderOutput output;
+        handleRequest(test.leader, test.state, 1, std::move(job), test.now, output);
+        handleRequest(test.leader, test.state, 2, std::move(heartbeat), test.now, output);
+        CHECK(output.proposals.empty());
+        for (const TokenReply &reply : output.replies) {
+            CHECK(static_cast<Reason>(reply.reply.error) == Reason::BadKey);
+        }
+        CHECK_EQUAL(std::size_t{2}, output.replies.size());
+    }
+    CHECK(call(test, Operation::SubmitJob, "/public/5a01c3d97e21ffff", "") == Reason::None);
+}
+
 /** A submission of another team must not be acknowledged with the record of a job that isn't its own. */
 TEST_CASE(Keys, AProposedJobBelongsToItsTeam)
 {
--- a/Tests/platform/bodies.cpp
+++ b/Tests/platform/bodies.cpp
@@ -198,6 +198,19 @@
     CHECK(platform::workerReply(order, 503, "").status == deployment::CallStatus::Busy);
 }
 
+// Guards against an exception for ids that aren't UTF-8, which ended each leader that started such a job.
+TEST_CASE(Platform, WritesCallsWithIdsThatAreNotText)
+{
+    deployment::UpstreamCall order;
+    order.kind = deployment::CallKind::Start;
+    order.job = "\xff\xfe";
+    CHECK(nlohmann::json::accept(platform::workerCall(order).body));
+    deployment::LocalAdviceRequest request;
+    request.step = "\xff.0.0";
+    request.upstreams = {"\xfe"};
+    CHECK(nlohmann::json::accept(platform::adviceCall({}, request).body));
+}
+
 TEST_CASE(Platform, ReadsTheListsOfAWorker)
 {
     deployment::UpstreamCall order;
