transport: Bound what unknown connections to the peer port may hold

Callers saw control hosts that outgrew their memory or had no descriptors left: any connection to the port between hosts could announce a frame of 64 MiB and send most of it, and a byte now and then kept it open for good.

Cause: the limits on frames, on silence and on the number of connections were those for known hosts, and held from the first byte of any connection.

Until its Hello was accepted, an accepted connection may now send a frame of 4 KiB at most, has the silence time of a connection in all, and counts towards a maximum of 128, of which the oldest is closed for a new one. A host sends its Hello at once, so that hosts that start together aren't affected; connections that a host dialled itself keep the limits that they had.

Still open: a client that knows the cluster's name can complete the handshake, and then send frames of any size.

--- a/Source/transport/peerconnection.cpp
+++ b/Source/transport/peerconnection.cpp
@@ -25,9 +25,13 @@
 
 PeerConnection::PeerConnection(int descriptor, bool dialledHere, std::uint64_t nowMs)
     : dialled(dialledHere)
+    , openedMs(nowMs)
     , lastContactMs(nowMs)
     , m_descriptor(descriptor)
 {
+    if (!dialled) {
+        m_reader.setMaxFrameBytes(wire::maxHelloBytes);
+    }
 }
 
 PeerConnection::~PeerConnection()
@@ -42,6 +46,7 @@
     , dialled(other.dialled)
     , readable(other.readable)
     , handshakeComplete(other.handshakeComplete)
+    , openedMs(other.openedMs)
     , lastContactMs(other.lastContactMs)
     , nextHeartbeatMs(other.nextHeartbeatMs)
     , m_descriptor(std::exchange(other.m_descriptor, -1))
@@ -64,6 +69,7 @@
         dialled = other.dialled;
         readable = other.readable;
         handshakeComplete = other.handshakeComplete;
+        openedMs = other.openedMs;
         lastContactMs = other.lastContactMs;
         nextHeartbeatMs = other.nextHeartbeatMs;
     }
@@ -123,6 +129,12 @@
     return error;
 }
 
+void PeerConnection::completeHandshake()
+{
+    handshakeComplete = true;
+    m_reader.setMaxFrameBytes(wire::maxFrameBytes);
+}
+
 bool PeerConnection::hasOutput() const
 {
     return m_sentBytes < m_output.size();
--- a/Source/transport/peerconnection.h
+++ b/Source/transport/peerconnection.h
@@ -28,6 +28,8 @@
     std::error_code flush(std::uint64_t nowMs);
     /** Reads available bytes. @param nowMs the current time. @param frames receives complete frames. @return an error that ends the connection, or none. */
     std::error_code receive(std::uint64_t nowMs, std::vector<std::unique_ptr<wire::PeerFrameT>> &frames);
+    /** Marks the other end as known: its cluster and version are accepted, and it may send frames of any size. */
+    void completeHandshake();
     /** @return whether there are unsent bytes. */
     bool hasOutput() const;
     /** @return the number of unsent bytes. */
@@ -39,6 +41,7 @@
     bool dialled = false; ///< This host opened the connection.
     bool readable = false; ///< The last poll reported data, an error or a hang-up.
     bool handshakeComplete = false; ///< The Hello of the other end was received and its cluster and version are accepted.
+    std::uint64_t openedMs = 0;
     std::uint64_t lastContactMs = 0; ///< Last time that the other end showed activity: bytes arrived, or a blocked send continued.
     std::uint64_t nextHeartbeatMs = 0;
 
--- a/Source/transport/peernetwork.cpp
+++ b/Source/transport/peernetwork.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t dialIntervalMs = 200;
 constexpr int pollMs = 50; // Upper bound of the delay of a dial or a heartbeat.
 constexpr int listenBacklog = 64;
+/** Maximum number of accepted connections whose other end isn't known yet; a host sends its Hello at once. */
+constexpr std::ptrdiff_t maxUnknownConnections = 128;
 /** Number of heartbeats sent within the silence timeout of a connection. */
 constexpr std::uint64_t heartbeatsPerSilenceTimeout = 4;
 /** Maximum number of unsent bytes on a connection; above it the connection is closed. */
@@ -222,10 +224,22 @@
             return;
         }
         setNoDelay(descriptor);
+        closeOldestUnknown();
         m_connections.emplace_back(descriptor, false, nowMs);
     }
 }
 
+/** Closes the oldest accepted connection whose other end isn't known yet, if there are many. */
+void PeerNetwork::closeOldestUnknown()
+{
+    const auto isUnknown = [](const PeerConnection &connection) {
+        return !connection.dialled && !connection.handshakeComplete;
+    };
+    if (std::count_if(m_connections.begin(), m_connections.end(), isUnknown) >= maxUnknownConnections) {
+        m_connections.erase(std::find_if(m_connections.begin(), m_connections.end(), isUnknown));
+    }
+}
+
 void PeerNetwork::countBytes(const std::string &peer, std::size_t bytes)
 {
     const config::HostSettings *host = config::findHost(m_settings, peer);
@@ -312,7 +326,7 @@
         telemetry::log(telemetry::Event::PeerRefused, {{"peer", hello.host}, {"cause", error.message()}});
         return error;
     }
-    connection.handshakeComplete = true;
+    connection.completeHandshake();
     if (!connection.dialled) {
         connection.peer = hello.host;
         countBytes(connection.peer, connection.queue(makeHello()));
@@ -378,7 +392,8 @@
 void PeerNetwork::keepAlive(PeerConnection &connection, std::uint64_t nowMs, std::error_code &error)
 {
     const std::uint64_t silenceMs = m_settings.timing.peerSilenceMs;
-    if (nowMs > connection.lastContactMs + silenceMs || connection.queuedBytes() > maxQueuedBytes) {
+    const bool unknown = !connection.dialled && !connection.handshakeComplete;
+    if (nowMs > (unknown ? connection.openedMs : connection.lastContactMs) + silenceMs || connection.queuedBytes() > maxQueuedBytes) {
         telemetry::log(telemetry::Event::PeerSilent, {{"peer", connection.peer}});
         ++m_connectionsRetired;
         error = TransportError::NoConnection;
--- a/Source/transport/peernetwork.h
+++ b/Source/transport/peernetwork.h
@@ -74,6 +74,7 @@
     void reportLost(const PeerConnection &connection, const std::error_code &error);
     void dialDisconnected(std::uint64_t nowMs);
     void acceptNew(std::uint64_t nowMs);
+    void closeOldestUnknown();
     void sendQueued();
     void handleEvents(std::uint64_t nowMs);
     void readFrom(PeerConnection &connection, std::uint64_t nowMs, std::error_code &error);
--- a/Source/wire/frame.cpp
+++ b/Source/wire/frame.cpp
@@ -57,10 +57,15 @@
     }
     m_buffer.insert(m_buffer.end(), bytes.begin(), bytes.end());
     if (m_buffer.size() >= frameHeaderBytes) {
-        m_buffer.reserve(frameHeaderBytes + std::min(readLength(m_buffer.data()), maxFrameBytes)); // A large frame arrives in many parts.
+        m_buffer.reserve(frameHeaderBytes + std::min(readLength(m_buffer.data()), m_maxFrameBytes)); // A large frame arrives in many parts.
     }
 }
 
+void FrameReader::setMaxFrameBytes(std::size_t bytes)
+{
+    m_maxFrameBytes = bytes;
+}
+
 std::unique_ptr<PeerFrameT> FrameReader::next(std::error_code &error)
 {
     const std::size_t available = m_buffer.size() - m_consumed;
@@ -68,7 +73,7 @@
         return nullptr;
     }
     const std::size_t length = readLength(m_buffer.data() + m_consumed);
-    if (length > maxFrameBytes) {
+    if (length > m_maxFrameBytes) {
         error = WireError::FrameTooLarge;
         return nullptr;
     }
--- a/Source/wire/frame.h
+++ b/Source/wire/frame.h
@@ -13,6 +13,8 @@
 {
 /** Maximum size of a frame body, in bytes. */
 constexpr std::size_t maxFrameBytes = 64U * 1024U * 1024U;
+/** Maximum size of the frame body of a Hello, in bytes: all that a connection may send before its other end is known. */
+constexpr std::size_t maxHelloBytes = 4096;
 /** Size of the little-endian length that precedes each body, in bytes. */
 constexpr std::size_t frameHeaderBytes = 4;
 /** Oldest protocol version that this build supports. */
@@ -60,6 +62,12 @@
      */
     void append(std::span<const std::uint8_t> bytes);
 
+    /**
+     * Limits the frames to come; the limit is maxFrameBytes at first.
+     * @param bytes maximum size of a frame body.
+     */
+    void setMaxFrameBytes(std::size_t bytes);
+
     /**
      * Removes the next complete frame from the stream.
      * @param error set if the stream is invalid; the connection must then be closed.
@@ -70,6 +78,7 @@
 private:
     Bytes m_buffer;
     std::size_t m_consumed = 0;
+    std::size_t m_maxFrameBytes = maxFrameBytes;
 };
 
 /**
