transport: Count the memory of parsed bodies while they are parsed

Callers saw control hosts that outgrew their memory: bodies of legal size whose parsed form is larger than the estimate of 40 times their text, among them one alone, as one body was admitted whatever it cost.

Cause: the parsed form was estimated from the size of the body. An open array takes over 70 bytes for one character, of which the parser's own stack is a part; and the estimate ended when the request was built, while the request and its copies wait for the leader.

JSON values are now counted by the meter of the thread while they are built; long texts through the callbacks of the parser, short ones (4 KiB) at once by the largest factor. Text nested deeper than 32 levels is refused before it is parsed. Memory is reserved in the client table in steps; where there is none, parsing ends and the answer is too-many-bodies. Connections, bodies, parsed forms and waiting requests have one total, memoryMb less 32 MB; a request is charged with its copies until it is answered.

ClientTable.LargeBodiesAreParsedWithinTheirBudget was written anew for the interface, with the total as a further check: a body is still begun however small the memory is, and now ends where the memory does.

--- a/Source/config/jsonreader.cpp
+++ b/Source/config/jsonreader.cpp
@@ -1,4 +1,7 @@
 #include "config/jsonreader.h"
+#include "config/memorymeter.h"
+
+#include <algorithm>
 
 namespace rosemaryturn::config
 {
@@ -14,20 +17,100 @@
     }
     return text;
 }
+
+/** Text of at most this size is charged at once, by the largest memory that text of its size can take: counting each value would cost more than parsing it. */
+constexpr std::size_t maxFlatBytes = std::size_t{4} * 1024;
+/** Largest memory of values relative to their text if nested at most maxJsonDepth deep: that of an array of empty objects. */
+constexpr std::uint64_t maxMemoryFactor = 40;
+/** Memory of a value in an array, which grows by doubling. */
+constexpr std::uint64_t elementBytes = 3 * sizeof(nlohmann::json);
+/** Memory of a member of an object, a node of a tree that holds the name and the value. */
+constexpr std::uint64_t memberBytes = 96;
+constexpr std::uint64_t stringBytes = 48;
+constexpr std::uint64_t arrayBytes = 64;
+constexpr std::uint64_t objectBytes = 64;
+/** Texts up to this size are stored in the string itself. */
+constexpr std::size_t maxInlineText = 15;
+
+/** @return the greatest nesting depth of a JSON text; of other text, any number. */
+int nestingDepth(std::string_view text)
+{
+    int depth = 0;
+    int deepest = 0;
+    bool inString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char character = text[i];
+        if (inString) {
+            i += character == '\\' ? 1 : 0;
+            inString = character != '"';
+        } else if (character == '"') {
+            inString = true;
+        } else if (character == '[' || character == '{') {
+            deepest = std::max(deepest, ++depth);
+        } else if (character == ']' || character == '}') {
+            --depth;
+        }
+    }
+    return deepest;
 }
 
-nlohmann::json parseJson(std::string_view text, std::vector<FieldError> &errors)
+/** Counts the memory of values while they are parsed. */
+struct ValueCounter
+{
+    std::uint64_t arrayDepths = 0; ///< A bit for each nesting depth: whether the open value of that depth is an array.
+    bool exceeded = false;
+};
+
+std::uint64_t heapBytes(const std::string &text)
+{
+    constexpr std::uint64_t allocatorBytes = 32;
+    return text.size() <= maxInlineText ? 0 : text.size() + allocatorBytes;
+}
+
+/** @return the memory of a value when its start, its name or its text was read. @param depth depth of the value that contains it. */
+std::uint64_t memoryOf(ValueCounter &counter, int depth, nlohmann::json::parse_event_t event, const nlohmann::json &parsed)
+{
+    using Event = nlohmann::json::parse_event_t;
+    const std::uint64_t bit = std::uint64_t{1} << static_cast<unsigned>(depth);
+    const std::uint64_t ownBytes = depth > 0 && (counter.arrayDepths & (bit >> 1U)) != 0 ? elementBytes : 0;
+    switch (event) {
+    case Event::object_start:
+        counter.arrayDepths &= ~bit;
+        return ownBytes + objectBytes;
+    case Event::array_start:
+        counter.arrayDepths |= bit;
+        return ownBytes + arrayBytes;
+    case Event::key:
+        return memberBytes + heapBytes(parsed.get_ref<const std::string &>());
+    case Event::value:
+        return ownBytes + (parsed.is_string() ? stringBytes + heapBytes(parsed.get_ref<const std::string &>()) : 0);
+    default:
+        return 0;
+    }
+}
+
+nlohmann::json parseCounted(std::string_view text)
 {
-    bool tooDeep = false;
-    const auto checkDepth = [&tooDeep](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
-        tooDeep = tooDeep || depth > maxJsonDepth;
-        return !tooDeep;
+    if (text.size() <= maxFlatBytes) {
+        return addJsonMemory(text.size() * maxMemoryFactor) ? nlohmann::json::parse(text, nullptr, false) : nlohmann::json(nlohmann::json::value_t::discarded);
+    }
+    ValueCounter counter;
+    const auto count = [&counter](int depth, nlohmann::json::parse_event_t event, nlohmann::json &parsed) {
+        counter.exceeded = counter.exceeded || !addJsonMemory(memoryOf(counter, depth, event, parsed));
+        return !counter.exceeded; // Values that are left out take no memory.
     };
-    nlohmann::json value = nlohmann::json::parse(text, checkDepth, false);
-    if (tooDeep) {
+    nlohmann::json value = nlohmann::json::parse(text, count, false);
+    return counter.exceeded ? nlohmann::json(nlohmann::json::value_t::discarded) : value;
+}
+}
+
+nlohmann::json parseJson(std::string_view text, std::vector<FieldError> &errors)
+{
+    if (nestingDepth(text) > maxJsonDepth) {
         errors.push_back({model::Reason::MalformedJson, "", "", "must not be nested deeper than " + std::to_string(maxJsonDepth) + " levels"});
         return nlohmann::json(nlohmann::json::value_t::discarded);
     }
+    nlohmann::json value = parseCounted(text);
     if (value.is_discarded()) {
         errors.push_back({model::Reason::MalformedJson, "", "", "must be one well-formed JSON value in UTF-8"});
     }
--- a/Source/config/jsonreader.h
+++ b/Source/config/jsonreader.h
@@ -25,7 +25,7 @@
 constexpr int maxJsonDepth = 32;
 
 /**
- * Parses a JSON text; comments and trailing text are errors.
+ * Parses a JSON text; comments and trailing text are errors. Its memory is counted by the meter of the thread, config/memorymeter.h.
  * @param text the text, in UTF-8.
  * @param errors receives a MalformedJson error.
  * @return the value; discarded if an error was added.
--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -25,12 +25,18 @@
 constexpr std::uint64_t maxConnections = 1000;
 /** A body of at most this size counts as small: it is admitted when large ones are not. */
 constexpr std::uint64_t smallBodyBytes = std::uint64_t{16} * 1024;
-/** A body of at most this size is parsed without a permit: 300 connections that do so at once take 48 MB at most. */
+/** A body of at most this size doesn't wait for its turn to be parsed. */
 constexpr std::uint64_t freeParseBytes = std::uint64_t{4} * 1024;
-/** Memory of the parsed form of a body relative to its size; arrays of empty objects take the most. */
-constexpr std::uint64_t parseFactor = 40;
-/** Longest body whose freed memory stays in the allocator: 1.25 MB in each of a few arenas. Returning it costs 40 us, 7 percent of a request of 24 KB. */
-constexpr std::uint64_t maxRetainedBytes = std::uint64_t{32} * 1024;
+/** Memory that is reserved before a body is parsed, relative to its size; more is reserved while it is parsed if its shape takes more. */
+constexpr std::uint64_t parseFactor = 12;
+/** The same for a body that doesn't wait; enough for the parsed form of any shape. */
+constexpr std::uint64_t shortParseFactor = 48;
+/** Part of the memory of clients that is left to small bodies and to connections when long bodies are parsed: one of 8. */
+constexpr std::uint64_t reservedShare = 8;
+/** Memory of a process without its clients and jobs: the program, its stacks, and freed memory that the allocator keeps. */
+constexpr std::uint64_t processBytes = std::uint64_t{32} << 20U;
+/** Largest parsed form whose freed memory stays in the allocator, in each of a few arenas. Returning it costs 40 us, 7 percent of a request of 24 KB. */
+constexpr std::uint64_t maxRetainedBytes = std::uint64_t{5} << 18U;
 /** Estimated memory of longer parsed bodies after which the allocator returns free pages; each thread leaves them in its arena otherwise. */
 constexpr std::uint64_t trimBytes = std::uint64_t{4} << 20U;
 /** Time without progress after which an incomplete request may be closed for another one. */
@@ -46,12 +52,7 @@
 constexpr std::uint64_t msPerSecond = 1000;
 
 /** Permit of the handler that runs on this thread. */
-struct ParsePermit
-{
-    std::function<void()> release;
-};
-
-thread_local ParsePermit parsePermit;
+thread_local ParsePermit *threadPermit = nullptr;
 
 std::uint64_t socketCookie(int descriptor)
 {
@@ -84,7 +85,7 @@
     limits.maxConnections = std::clamp(std::min(bytes / 4 / bytesPerConnection, descriptors / 2), minConnections, maxConnections);
     // A control host of 256 MB holds eight configurations of 5 MiB at once.
     limits.maxBodyBytes = bytes / 6;
-    limits.maxParseBytes = bytes / 6;
+    limits.maxBytes = bytes - std::min(processBytes, bytes / 2);
     return limits;
 }
 
@@ -123,16 +124,25 @@
     return m_limits;
 }
 
+/** @return all memory of clients. Connections that were closed count until their threads have ended. */
+std::uint64_t ClientTable::totalBytes() const
+{
+    return m_connections.size() * bytesPerConnection + m_bodyBytes + m_parseBytes;
+}
+
+bool ClientTable::fits(std::uint64_t bytes) const
+{
+    return totalBytes() + bytes <= m_limits.maxBytes;
+}
+
 ClientUsage ClientTable::usage() const
 {
     ClientUsage usage;
-    {
-        const std::lock_guard lock(m_mutex);
-        usage.connections = m_open;
-        usage.bodyBytes = m_bodyBytes;
-    }
-    const std::lock_guard lock(m_parseMutex);
+    const std::lock_guard lock(m_mutex);
+    usage.connections = m_open;
+    usage.bodyBytes = m_bodyBytes;
     usage.parseBytes = m_parseBytes;
+    usage.totalBytes = totalBytes();
     return usage;
 }
 
@@ -253,48 +263,105 @@
     connection.progressMs = nowMs;
 }
 
-bool ClientTable::acquireParsing(std::uint64_t bytes)
+/** @return the memory of clients up to which a body of a size may be parsed. */
+std::uint64_t ClientTable::maxParseTotal(std::uint64_t bodyBytes) const
+{
+    return bodyBytes <= freeParseBytes ? m_limits.maxBytes : m_limits.maxBytes - m_limits.maxBytes / reservedShare;
+}
+
+std::uint64_t ClientTable::acquireParsing(std::uint64_t bytes)
 {
-    if (bytes <= freeParseBytes) {
-        return true;
+    const bool isShort = bytes <= freeParseBytes;
+    const std::uint64_t maxTotal = maxParseTotal(bytes);
+    const std::uint64_t wanted = std::min(bytes * (isShort ? shortParseFactor : parseFactor), maxTotal / 2);
+    std::unique_lock lock(m_mutex);
+    if (isShort) {
+        const bool admitted = totalBytes() + wanted <= maxTotal;
+        m_parseBytes += admitted ? wanted : 0;
+        return admitted ? wanted : 0;
     }
-    const std::uint64_t estimate = bytes * parseFactor;
-    std::unique_lock lock(m_parseMutex);
-    const auto place = m_parseQueue.insert(m_parseQueue.end(), estimate);
+    const auto place = m_parseQueue.insert(m_parseQueue.end(), wanted);
     const bool admitted = m_parseChanged.wait_for(lock, parseWait, [&] {
-        return place == m_parseQueue.begin() && (m_parseBytes == 0 || m_parseBytes + estimate <= m_limits.maxParseBytes);
+        return place == m_parseQueue.begin() && totalBytes() + wanted <= maxTotal;
     });
     m_parseQueue.erase(place);
-    if (admitted) {
-        m_parseBytes += estimate;
-        parsePermit.release = [this, estimate] {
-            returnParsing(estimate);
-        };
-    }
+    m_parseBytes += admitted ? wanted : 0;
     m_parseChanged.notify_all();
-    return admitted;
+    return admitted ? wanted : 0;
 }
 
-void ClientTable::releaseParsing()
+bool ClientTable::growParsing(std::uint64_t bytes, std::uint64_t bodyBytes)
 {
-    if (parsePermit.release) {
-        std::exchange(parsePermit.release, nullptr)();
+    const std::lock_guard lock(m_mutex);
+    if (totalBytes() + bytes > maxParseTotal(bodyBytes)) {
+        return false;
     }
+    m_parseBytes += bytes;
+    return true;
 }
 
 void ClientTable::returnParsing(std::uint64_t bytes)
 {
-    if (bytes > maxRetainedBytes * parseFactor && m_untrimmedBytes.fetch_add(bytes) + bytes >= trimBytes) {
+    if (bytes > maxRetainedBytes && m_untrimmedBytes.fetch_add(bytes) + bytes >= trimBytes) {
         m_untrimmedBytes = 0;
         ::malloc_trim(0);
     }
     {
-        const std::lock_guard lock(m_parseMutex);
+        const std::lock_guard lock(m_mutex);
         m_parseBytes -= bytes;
     }
     m_parseChanged.notify_all();
 }
 
+ParsePermit::ParsePermit(ClientTable &table, std::uint64_t bytes)
+    : m_table(table)
+    , m_granted(true)
+{
+    if (bytes == 0) {
+        return;
+    }
+    m_meter.grantedBytes = table.acquireParsing(bytes);
+    m_granted = m_meter.grantedBytes > 0;
+    m_meter.grow = [&table, bytes](std::uint64_t more) {
+        return table.growParsing(more, bytes);
+    };
+    config::setThreadMeter(&m_meter);
+    threadPermit = this;
+}
+
+ParsePermit::~ParsePermit()
+{
+    config::setThreadMeter(nullptr);
+    threadPermit = nullptr;
+    shrink(0);
+}
+
+bool ParsePermit::isGranted() const
+{
+    return m_granted;
+}
+
+bool ParsePermit::isExceeded() const
+{
+    return m_meter.exceeded;
+}
+
+void ParsePermit::releaseJson()
+{
+    if (threadPermit != nullptr) {
+        threadPermit->shrink(threadPermit->m_meter.requestBytes * config::requestCopies);
+    }
+}
+
+/** Returns the memory beyond a number of bytes. */
+void ParsePermit::shrink(std::uint64_t bytes)
+{
+    if (m_meter.grantedBytes > bytes) {
+        m_table.returnParsing(std::exchange(m_meter.grantedBytes, bytes) - bytes);
+    }
+    m_meter.jsonBytes = 0;
+}
+
 void ClientTable::expire()
 {
     const std::uint64_t nowMs = m_clock();
@@ -383,7 +450,7 @@
     const bool small = std::max(connection.charged + bytes, connection.expected) <= smallBodyBytes;
     // One eighth is reserved for small bodies, as large ones that are being handled can't be closed.
     const std::uint64_t budget = small ? m_limits.maxBodyBytes : m_limits.maxBodyBytes / 8 * 7;
-    while (m_bodyBytes + bytes > budget) {
+    while (m_bodyBytes + bytes > budget || !fits(bytes)) {
         ClientConnection *victim = bodyVictim(connection, small, nowMs);
         if (victim == nullptr) {
             return false;
--- a/Source/transport/clienttable.h
+++ b/Source/transport/clienttable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/memorymeter.h"
 #include "model/reason.h"
 #include "transport/bodybuffer.h"
 
@@ -22,8 +23,8 @@
 struct ClientLimits
 {
     std::uint64_t maxConnections = 1000; ///< Open connections.
+    std::uint64_t maxBytes = std::uint64_t{192} << 20U; ///< All memory of clients: connections, bodies, parsed forms and responses.
     std::uint64_t maxBodyBytes = std::uint64_t{64} << 20U; ///< Bodies being received or handled, and responses being sent.
-    std::uint64_t maxParseBytes = std::uint64_t{64} << 20U; ///< Estimated memory of long bodies being parsed; one is always admitted.
     std::uint64_t requestMs = 30000; ///< Time to send a request; each 8 KiB received extend it by one second.
 };
 
@@ -60,6 +61,34 @@
     std::uint64_t connections = 0;
     std::uint64_t bodyBytes = 0;
     std::uint64_t parseBytes = 0;
+    std::uint64_t totalBytes = 0; ///< All memory of clients, at most ClientLimits::maxBytes.
+};
+
+class ClientTable;
+
+/** Memory for the parsed forms of a body and the request built from it, while the body's handler runs. Belongs to the thread that runs the handler. */
+class ParsePermit
+{
+public:
+    /** Waits until there is memory to begin with a body. @param table the table. @param bytes size of the body. */
+    ParsePermit(ClientTable &table, std::uint64_t bytes);
+    ~ParsePermit();
+    ParsePermit(const ParsePermit &) = delete;
+    ParsePermit &operator=(const ParsePermit &) = delete;
+
+    /** @return whether there was memory to begin with the body. */
+    bool isGranted() const;
+    /** @return whether the parsing of the body has failed for lack of memory. */
+    bool isExceeded() const;
+    /** Returns the memory of JSON values, if this thread has a permit: its request was built and waits for an answer. May be called more than once. */
+    static void releaseJson();
+
+private:
+    void shrink(std::uint64_t bytes);
+
+    ClientTable &m_table;
+    config::MemoryMeter m_meter;
+    bool m_granted = false;
 };
 
 /**
@@ -106,11 +135,13 @@
     /** Ends a request, whether or not it was answered. @param connection the connection. */
     void endRequest(ClientConnection &connection);
 
-    /** Waits until a body may be parsed; long bodies only, as the parsed form takes many times their size. @param bytes size of the body. @return false if
-     * that took too long; the request is refused. Otherwise releaseParsing() must be called on the same thread. */
-    bool acquireParsing(std::uint64_t bytes);
-    /** Allows the next body to be parsed, if this thread holds a permit; may be called more than once. */
-    static void releaseParsing();
+    /** Waits until memory for the parsed form of a body is free; long bodies wait in order of arrival. @param bytes size of the body. @return the memory that
+     * was reserved; 0 if that took too long or is more than the process has. */
+    std::uint64_t acquireParsing(std::uint64_t bytes);
+    /** Reserves more memory for a parsed form, without waiting. @param bytes the memory. @param bodyBytes size of the body. @return false if there is none. */
+    bool growParsing(std::uint64_t bytes, std::uint64_t bodyBytes);
+    /** Returns reserved memory. @param bytes the memory. */
+    void returnParsing(std::uint64_t bytes);
 
     /** Closes connections whose requests take too long, and logs what was refused since the last call. */
     void expire();
@@ -121,7 +152,9 @@
     bool charge(ClientConnection &connection, std::uint64_t bytes, std::uint64_t nowMs);
     void release(ClientConnection &connection);
     void close(ClientConnection &connection, model::Reason reason);
-    void returnParsing(std::uint64_t bytes);
+    std::uint64_t totalBytes() const;
+    std::uint64_t maxParseTotal(std::uint64_t bodyBytes) const;
+    bool fits(std::uint64_t bytes) const;
 
     const ClientLimits m_limits;
     const Clock m_clock;
@@ -134,7 +167,6 @@
     std::uint64_t m_closedSinceLog = 0;
     std::uint64_t m_refusedSinceLog = 0;
 
-    mutable std::mutex m_parseMutex;
     std::condition_variable m_parseChanged;
     std::list<std::uint64_t> m_parseQueue; ///< Waiting bodies in order of arrival.
     std::uint64_t m_parseBytes = 0;
--- a/Source/transport/gateway.cpp
+++ b/Source/transport/gateway.cpp
@@ -32,7 +32,7 @@
 wire::ReplyT Gateway::call(wire::RequestT request)
 {
     // The body has been parsed; the wait for the reply needs no memory for its parsed form.
-    ClientTable::releaseParsing();
+    ParsePermit::releaseJson();
     std::future<wire::ReplyT> answer;
     control::Token token = 0;
     {
--- a/Source/transport/httpserver.cpp
+++ b/Source/transport/httpserver.cpp
@@ -216,12 +216,15 @@
         request.method = method;
         request.body = client.body.view();
         HttpResponse response;
-        if (clients->acquireParsing(request.body.size())) {
-            response = dispatch(request);
-            ClientTable::releaseParsing();
-        } else {
-            response = refuseAtEdge(model::Reason::TooManyBodies, {});
-            response.retryAfterMs = refusedRetryMs;
+        {
+            const ParsePermit permit(*clients, request.body.size());
+            if (permit.isGranted()) {
+                response = dispatch(request);
+            }
+            if (!permit.isGranted() || permit.isExceeded()) {
+                response = refuseAtEdge(model::Reason::TooManyBodies, {});
+                response.retryAfterMs = refusedRetryMs;
+            }
         }
         clients->beginSending(client, response.body.size());
         const MHD_Result result = queue(connection, std::move(response), quiescing);
--- a/Source/transport/requestjson.cpp
+++ b/Source/transport/requestjson.cpp
@@ -1,5 +1,6 @@
 #include "transport/requestjson.h"
 
+#include "config/memorymeter.h"
 #include "model/key.h"
 #include "model/task.h"
 #include "telemetry/metrics.h"
@@ -45,6 +46,10 @@
     const std::string encodedName = std::string(name) + "Base64";
     const std::string encoded = reader.text(encodedName.c_str(), "", maxPayloadLength);
     const std::string text = reader.text(name, "", maxPayloadLength);
+    if (!config::addRequestMemory(std::max(text.size(), encoded.size()))) {
+        reader.addError(name, model::Reason::TooManyBodies, std::string(model::reasonInfo(model::Reason::TooManyBodies).text));
+        return {};
+    }
     wire::Bytes bytes(text.begin(), text.end());
     if (!encoded.empty() && !fromBase64(encoded, bytes)) {
         reader.addError(encodedName.c_str(), model::Reason::OutOfRange, "expected Base64");
--- a/Tests/transport/clienttable.cpp
+++ b/Tests/transport/clienttable.cpp
@@ -207,19 +207,30 @@
     CHECK(!idle.closed);
 }
 
-// Guards against parsing many large bodies at once, and against a body that can never be parsed.
+// Guards against parsing many large bodies at once, against a body whose shape takes more than there is, and against a body that can never be parsed.
 TEST_CASE(ClientTable, LargeBodiesAreParsedWithinTheirBudget)
 {
     ClientLimits limits;
-    limits.maxParseBytes = 1;
+    limits.maxBytes = longestBody;
     ClientTable table(limits, [] {
         return std::uint64_t{0};
     });
-    CHECK(table.acquireParsing(longestBody));
-    CHECK(table.usage().parseBytes > longestBody);
-    ClientTable::releaseParsing();
-    ClientTable::releaseParsing();
+    {
+        const ParsePermit permit(table, longestBody);
+        CHECK(permit.isGranted());
+        CHECK(table.usage().parseBytes > 0);
+        CHECK(config::addRequestMemory(100));
+        CHECK(config::addJsonMemory(longestBody / 2));
+        CHECK(!permit.isExceeded());
+        CHECK(!config::addJsonMemory(longestBody / 2));
+        CHECK(permit.isExceeded());
+        CHECK(table.usage().totalBytes <= limits.maxBytes);
+        ParsePermit::releaseJson();
+        ParsePermit::releaseJson();
+        CHECK(table.usage().parseBytes > 0); // The request still waits.
+        CHECK(table.usage().parseBytes < 1000);
+    }
     CHECK_EQUAL(std::uint64_t{0}, table.usage().parseBytes);
-    CHECK(table.acquireParsing(100));
+    CHECK(ParsePermit(table, 100).isGranted());
     CHECK_EQUAL(std::uint64_t{0}, table.usage().parseBytes);
 }
