transport: Close connections without a request line first

Callers got no answer from an entry host in 10 tries: 400 clients that sent their request line byte by byte held all connections.

Cause: the table knew of a request only once its line was whole. Until then such a connection counted as idle, was closed after 5 s without use only, and all of them at once, while the crowd connected again.

A connection is now in a phase of its own until its first request line is whole. It has requestMs for it. At the limit it can be closed after a second, as an incomplete request can; and once more than a quarter of the connections are in this phase, the oldest of them makes room at once, before any connection that has had an answer. An ordinary client sends its line with the handshake, so that it passes between two arrivals of the crowd. A shorter idle time for all was ruled out, as heartbeats would close each other's connections again. Clients that send a whole request line and no more were and are closed as incomplete requests.

ClientTable.ConnectionsWithoutARequestLineMakeRoomAtOnce shows the order. Two older tests meant a connection that has had an answer by "idle", and now make one; what they check is unchanged.

--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -44,6 +44,8 @@
 /** Idle time between requests after which a connection may be closed for a new one. Heartbeats keep theirs in use at shorter intervals: closing one of them for
  * another would make all of them connect again and again. */
 constexpr std::uint64_t unusedMs = 5000;
+/** Part of the connections that may wait for their first request line before the oldest of them is closed for a new connection. */
+constexpr std::uint64_t maxConnectedShare = 4;
 /** Time for which no further connection to close is searched for after none was found; a search visits all connections. */
 constexpr std::uint64_t searchPauseMs = 100;
 constexpr std::chrono::milliseconds parseWait{5000};
@@ -170,10 +172,13 @@
     connection.server = server;
     connection.descriptor = descriptor;
     connection.cookie = cookie;
+    connection.startMs = nowMs;
     connection.progressMs = nowMs;
+    connection.connectedPosition = m_connected.insert(m_connected.end(), &connection);
     ++m_open;
     ++m_openByServer[server];
     if (full) {
+        leaveConnected(connection);
         connection.phase = ClientPhase::Receiving; // The client is told why.
         close(connection, Reason::TooManyConnections);
     }
@@ -184,6 +189,7 @@
 {
     const std::lock_guard lock(m_mutex);
     release(*connection);
+    leaveConnected(*connection);
     if (!connection->closed) {
         --m_open;
         --m_openByServer[connection->server];
@@ -197,6 +203,7 @@
     const std::lock_guard lock(m_mutex);
     connection.target = target;
     connection.expected = 0;
+    leaveConnected(connection);
     connection.phase = ClientPhase::Receiving;
     connection.startMs = nowMs;
     connection.progressMs = nowMs;
@@ -373,7 +380,7 @@
         const std::lock_guard lock(m_mutex);
         for (const auto &[key, owned] : m_connections) {
             ClientConnection &connection = *owned;
-            const bool timed = connection.phase == ClientPhase::Receiving || connection.phase == ClientPhase::Sending;
+            const bool timed = connection.phase != ClientPhase::Idle && connection.phase != ClientPhase::Handling;
             if (timed && !connection.closed && nowMs >= deadlineMs(connection, m_limits.requestMs)) {
                 close(connection, Reason::RequestTooSlow);
             }
@@ -395,12 +402,16 @@
 }
 
 /** @return the connection to close for a new one: an incomplete request without progress, then an idle connection, then any incomplete one; null if all are
- * handled. Only connections of the server that has most are considered, so that readiness and metrics stay reachable. */
+ * in use. Only connections of the server that has most are considered, so that readiness and metrics stay reachable. While many connections wait for their
+ * first request line, the oldest of these is closed without further search: an ordinary client sends its line at once, and few of them are open at a time. */
 ClientConnection *ClientTable::connectionVictim(std::uint64_t nowMs)
 {
     const auto busiest = std::max_element(m_openByServer.begin(), m_openByServer.end(), [](const auto &a, const auto &b) {
         return a.second < b.second;
     });
+    if (m_connected.size() > m_limits.maxConnections / maxConnectedShare && m_connected.front()->server == busiest->first) {
+        return m_connected.front();
+    }
     const auto rank = [nowMs](const ClientConnection &connection) {
         if (connection.phase == ClientPhase::Idle) {
             return 1;
@@ -408,7 +419,16 @@
         return connection.progressMs + idleMs <= nowMs ? 0 : 2;
     };
     const auto inUse = [nowMs](const ClientConnection &connection) {
-        return connection.phase == ClientPhase::Handling || (connection.phase == ClientPhase::Idle && connection.progressMs + unusedMs > nowMs);
+        switch (connection.phase) {
+        case ClientPhase::Connected:
+            return connection.progressMs + idleMs > nowMs;
+        case ClientPhase::Idle:
+            return connection.progressMs + unusedMs > nowMs;
+        case ClientPhase::Handling:
+            return true;
+        default:
+            return false;
+        }
     };
     ClientConnection *victim = nullptr;
     for (const auto &[key, owned] : m_connections) {
@@ -469,11 +489,19 @@
     connection.body.clear();
 }
 
+void ClientTable::leaveConnected(ClientConnection &connection)
+{
+    if (connection.phase == ClientPhase::Connected && !connection.closed) {
+        m_connected.erase(connection.connectedPosition);
+    }
+}
+
 /** Closes a connection that isn't being handled; its thread ends as its socket is shut down. */
 void ClientTable::close(ClientConnection &connection, Reason reason)
 {
     telemetry::refusalCounters().count(reason);
     release(connection);
+    leaveConnected(connection);
     connection.closed = true;
     --m_open;
     --m_openByServer[connection.server];
--- a/Source/transport/clienttable.h
+++ b/Source/transport/clienttable.h
@@ -33,7 +33,8 @@
 
 /** State of the request of a connection. */
 enum class ClientPhase {
-    Idle, ///< Between requests, or before the first one.
+    Connected, ///< Before the first request line was received; whether a part of it was isn't known.
+    Idle, ///< Between requests.
     Receiving, ///< The request line was received, the whole request was not.
     Handling, ///< The handler runs.
     Sending, ///< The response is being sent.
@@ -45,14 +46,15 @@
     int server = 0;
     int descriptor = -1;
     std::uint64_t cookie = 0; ///< Identity of the socket; a descriptor may be reused.
-    ClientPhase phase = ClientPhase::Idle;
+    ClientPhase phase = ClientPhase::Connected;
     bool closed = false; ///< Closed by the table; its thread has not ended yet.
-    std::uint64_t startMs = 0; ///< Start of the phase Receiving or Sending.
+    std::uint64_t startMs = 0; ///< Start of the phase Connected, Receiving or Sending.
     std::uint64_t progressMs = 0; ///< Time of the last received bytes, or of the last change of the phase.
     std::uint64_t expected = 0; ///< Announced size of the body; 0 if not announced.
     std::uint64_t charged = 0; ///< Bytes charged to the budget.
     BodyBuffer body;
     std::string target; ///< Target of the request, not unescaped.
+    std::list<ClientConnection *>::iterator connectedPosition; ///< In ClientTable's list of the connections in the phase Connected.
 };
 
 /** What the clients use at present. */
@@ -93,7 +95,8 @@
 
 /**
  * The connections of all HTTP servers of a process. Charges bodies to one budget from their first byte, and closes connections when a limit is reached:
- * those with incomplete requests first, the oldest-idle first. A request that is refused here has not reached its handler.
+ * those with incomplete requests first, the oldest-idle first. A client counts as ordinary once it has sent a whole request line. A request that is refused
+ * here has not reached its handler.
  */
 class ClientTable
 {
@@ -152,6 +155,7 @@
     bool charge(ClientConnection &connection, std::uint64_t bytes, std::uint64_t nowMs);
     void release(ClientConnection &connection);
     void close(ClientConnection &connection, model::Reason reason);
+    void leaveConnected(ClientConnection &connection);
     std::uint64_t totalBytes() const;
     std::uint64_t maxParseTotal(std::uint64_t bodyBytes) const;
     bool fits(std::uint64_t bytes) const;
@@ -161,6 +165,7 @@
     mutable std::mutex m_mutex;
     std::unordered_map<const ClientConnection *, std::unique_ptr<ClientConnection>> m_connections;
     std::map<int, std::uint64_t> m_openByServer;
+    std::list<ClientConnection *> m_connected; ///< Open connections in the phase Connected, the oldest first.
     std::uint64_t m_open = 0;
     std::uint64_t m_nextSearchMs = 0; ///< No connection to close is searched for before this time.
     std::uint64_t m_bodyBytes = 0;
--- a/Tests/transport/clienttable.cpp
+++ b/Tests/transport/clienttable.cpp
@@ -51,9 +51,20 @@
         return *table.add(server, pair[0]);
     }
 
+    /** Makes a connection that has had a request answered. */
+    ClientConnection &connectAndAsk(int server = 1)
+    {
+        ClientConnection &connection = connect(server);
+        table.beginRequest(connection, "/");
+        CHECK(table.beginHandling(connection));
+        table.beginSending(connection, 1);
+        table.endRequest(connection);
+        return connection;
+    }
+
     Reason send(ClientConnection &connection, std::uint64_t bytes)
     {
-        if (connection.phase == ClientPhase::Idle) {
+        if (connection.phase == ClientPhase::Connected || connection.phase == ClientPhase::Idle) {
             table.beginRequest(connection, "/");
             table.beginBody(connection, bytes);
         }
@@ -160,8 +171,8 @@
 TEST_CASE(ClientTable, AtTheConnectionLimitIncompleteRequestsGoFirst)
 {
     Fixture fixture(smallLimits());
-    ClientConnection &readiness = fixture.connect(2);
-    ClientConnection &idle = fixture.connect();
+    ClientConnection &readiness = fixture.connectAndAsk(2);
+    ClientConnection &idle = fixture.connectAndAsk();
     ClientConnection &incomplete = fixture.connect();
     fixture.table.beginRequest(incomplete, "/");
     fixture.nowMs += 2000;
@@ -186,13 +197,42 @@
     CHECK_EQUAL(std::uint64_t{3}, fixture.table.usage().connections);
 }
 
+// Guards against clients that trickle their request line, count as idle and keep callers out until they have been idle for long.
+TEST_CASE(ClientTable, ConnectionsWithoutARequestLineMakeRoomAtOnce)
+{
+    ClientLimits limits = smallLimits();
+    limits.maxConnections = 8;
+    limits.requestMs = 10000;
+    Fixture fixture(limits);
+    const ClientConnection &idle = fixture.connectAndAsk();
+    const ClientConnection &oldest = fixture.connect();
+    const ClientConnection &second = fixture.connect();
+    for (int i = 0; i < 5; ++i) {
+        fixture.connect();
+    }
+    ClientConnection &ordinary = fixture.connect();
+    CHECK(oldest.closed);
+    CHECK(!second.closed);
+    fixture.table.beginRequest(ordinary, "/");
+    for (int i = 0; i < 20; ++i) {
+        CHECK(!fixture.connect().closed);
+    }
+    CHECK(second.closed);
+    CHECK(!idle.closed);
+    CHECK(fixture.table.beginHandling(ordinary));
+    CHECK_EQUAL(std::uint64_t{8}, fixture.table.usage().connections);
+    fixture.nowMs += limits.requestMs;
+    fixture.table.expire();
+    CHECK_EQUAL(std::uint64_t{2}, fixture.table.usage().connections);
+}
+
 // Guards against a client that sends a byte now and then, and against closing idle connections between requests.
 TEST_CASE(ClientTable, ARequestThatTakesTooLongIsClosed)
 {
     ClientLimits limits = smallLimits();
     limits.requestMs = 10000;
     Fixture fixture(limits);
-    const ClientConnection &idle = fixture.connect();
+    const ClientConnection &idle = fixture.connectAndAsk();
     ClientConnection &slow = fixture.connect();
     for (int second = 0; second < 10; ++second) {
         CHECK(fixture.send(slow, 1) == Reason::None);
