transport: Bound the responses that nobody reads

Callers saw a control host at twice its memory: 200 clients that asked for a long plan again and again and read nothing.

Cause: each request copied the plan, in the reply and in the response; the response was charged after it had been made, and whatever was charged, it was sent.

Responses count towards the total for clients. A long one for which there is no memory closes connections that haven't read theirs for a second, else it isn't sent: GET is refused, other requests lose their connection, as a refusal would deny what was done. Copying on a cached revision was ruled out, as it needs a field in the request and saves only the calls between hosts.

Not looked at closely: answers of tasks in rosemaryturnd, up to 16 MiB each, are still made before they are charged.

--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -248,17 +248,24 @@
     return true;
 }
 
-void ClientTable::beginSending(ClientConnection &connection, std::uint64_t bytes)
+bool ClientTable::beginSending(ClientConnection &connection, std::uint64_t bytes)
 {
     const std::uint64_t nowMs = m_clock();
     const std::lock_guard lock(m_mutex);
     release(connection);
-    // A response exists already; it may exceed the budget, which then refuses further bodies.
-    connection.charged = bytes;
-    m_bodyBytes += bytes;
     connection.phase = ClientPhase::Sending;
     connection.startMs = nowMs;
     connection.progressMs = nowMs;
+    while (bytes > smallBodyBytes && !fits(bytes)) {
+        ClientConnection *victim = bodyVictim(connection, false, nowMs);
+        if (victim == nullptr) {
+            return false;
+        }
+        close(*victim, Reason::TooManyBodies);
+    }
+    connection.charged = bytes;
+    m_bodyBytes += bytes;
+    return true;
 }
 
 void ClientTable::endRequest(ClientConnection &connection)
--- a/Source/transport/clienttable.h
+++ b/Source/transport/clienttable.h
@@ -133,8 +133,9 @@
     model::Reason append(ClientConnection &connection, std::string_view bytes, std::uint64_t maxBytes);
     /** Marks a request as complete. @param connection the connection. @return false if it was closed; its handler must not run. */
     bool beginHandling(ClientConnection &connection);
-    /** Frees the body and charges the response. @param connection the connection. @param bytes size of the response. */
-    void beginSending(ClientConnection &connection, std::uint64_t bytes);
+    /** Frees the body and charges the response. For a long response, connections that don't read theirs are closed if there is no memory. @param connection the
+     * connection. @param bytes size of the response. @return false if there is still no memory; nothing is charged then. */
+    bool beginSending(ClientConnection &connection, std::uint64_t bytes);
     /** Ends a request, whether or not it was answered. @param connection the connection. */
     void endRequest(ClientConnection &connection);
 
--- a/Source/transport/httpserver.cpp
+++ b/Source/transport/httpserver.cpp
@@ -72,14 +72,14 @@
 MHD_Result queue(MHD_Connection *connection, HttpResponse &&answer, bool close)
 {
     constexpr std::uint32_t msPerSecond = 1000;
-    auto *body = new std::string(std::move(answer.body));
-    MHD_Response *response = MHD_create_response_from_buffer_with_free_callback_cls(
-        body->size(),
-        body->data(),
-        [](void *text) {
-            delete static_cast<std::string *>(text);
-        },
-        body);
+    using Body = std::shared_ptr<const std::string>;
+    auto *body = new Body(answer.sharedBody ? std::move(answer.sharedBody) : std::make_shared<const std::string>(std::move(answer.body)));
+    MHD_Response *response = MHD_create_response_from_buffer_with_free_callback_cls((*body)->size(),
+                                                                                    const_cast<char *>((*body)->data()), // The library only reads it.
+                                                                                    [](void *text) {
+                                                                                        delete static_cast<Body *>(text);
+                                                                                    },
+                                                                                    body);
     if (response == nullptr) {
         delete body;
         return MHD_NO;
@@ -226,7 +226,14 @@
                 response.retryAfterMs = refusedRetryMs;
             }
         }
-        clients->beginSending(client, response.body.size());
+        if (!clients->beginSending(client, response.sharedBody ? response.sharedBody->size() : response.body.size())) {
+            if (request.method != "GET") { // It may have had an effect, which a refusal would deny.
+                --inFlight;
+                return MHD_NO;
+            }
+            response = refuseAtEdge(model::Reason::TooManyBodies, {});
+            response.retryAfterMs = refusedRetryMs;
+        }
         const MHD_Result result = queue(connection, std::move(response), quiescing);
         --inFlight;
         return result;
--- a/Source/transport/httpserver.h
+++ b/Source/transport/httpserver.h
@@ -45,6 +45,7 @@
     std::string body;
     std::uint32_t retryAfterMs = 0; ///< Sent as Retry-After, rounded up to seconds; 0 omits the header.
     const char *contentType = "application/json";
+    std::shared_ptr<const std::string> sharedBody = {}; ///< Sent in place of the body if set; several responses may share it.
 };
 
 /** A method and path that the server handles. */
--- a/Tests/transport/clienttable.cpp
+++ b/Tests/transport/clienttable.cpp
@@ -247,6 +247,24 @@
     CHECK(!idle.closed);
 }
 
+// Guards against responses that nobody reads: they make room for another one, or else it isn't sent.
+TEST_CASE(ClientTable, LongResponsesStayWithinTheMemory)
+{
+    ClientLimits limits = smallLimits();
+    limits.maxBytes = 1000 * kilobyte;
+    Fixture fixture(limits);
+    ClientConnection &unread = fixture.connectAndAsk();
+    CHECK(fixture.table.beginSending(unread, 700 * kilobyte));
+    ClientConnection &next = fixture.connectAndAsk();
+    CHECK(!fixture.table.beginSending(next, 700 * kilobyte));
+    CHECK(fixture.table.beginSending(next, 100)); // Short ones, which tell what was done, are always sent.
+    CHECK(!unread.closed);
+    fixture.nowMs += 2000;
+    CHECK(fixture.table.beginSending(next, 700 * kilobyte));
+    CHECK(unread.closed);
+    CHECK(fixture.table.usage().totalBytes <= limits.maxBytes);
+}
+
 // Guards against parsing many large bodies at once, against a body whose shape takes more than there is, and against a body that can never be parsed.
 TEST_CASE(ClientTable, LargeBodiesAreParsedWithinTheirBudget)
 {
