deployment: Bound the memory of the plan, upstreams and waves

Found by reading: a client of the control port could register any number of upstreams with labels of up to 5 MiB each, and start any number of waves; each goes into the replicated state, where only jobs were counted.

They are counted as jobs are, and restored with the state. Jobs share their room with them. They themselves may take three quarters of it, whatever jobs hold: a plan or an upstream may be what the jobs wait for. The estimates are reckoned, not measured.

Evidence: Leader.PlansUpstreamsAndWavesWithoutRoomAreRefused (new; the field that it checks didn't exist before). No crowd was run against this one.

--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -445,6 +445,7 @@
 {
 // leaderrequests.cpp
 void refuse(Token token, model::Reason reason, LeaderOutput &output);
+void refuseWithoutRoom(const Leader &leader, const job::State &state, Token token, Decision decision, std::uint64_t neededBytes, LeaderOutput &output);
 
 // leaderupstreams.cpp
 std::uint64_t fenceFor(const Leader &leader, const upstream::UpstreamState &upstreamState);
@@ -508,6 +509,8 @@
 void applyPlanToWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 void enqueueDueSteps(Leader &leader, const job::State &state, const Now &now);
 bool hasRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes);
+/** Whether the plan, an upstream or a wave fits. Jobs don't count, as those that have filled the memory may need a new plan or upstream to end. */
+bool hasRegistryRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes);
 void closePlacedOccurrences(Leader &leader, const wire::RunsPlacedT &record);
 void applyPlanToAdvice(Leader &leader, const wire::PlanAcceptedT &plan);
 void prefetchAdvice(Leader &leader, const wire::JobSpecT &job, const wire::QueueSpecT &queue, const Now &now, LeaderOutput &output);
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -15,6 +15,15 @@
     reply.error = static_cast<std::uint16_t>(reason);
     output.replies.push_back({token, std::move(reply)});
 }
+
+void refuseWithoutRoom(const Leader &leader, const job::State &state, Token token, Decision decision, std::uint64_t neededBytes, LeaderOutput &output)
+{
+    decision.detail = "needed=" + std::to_string(neededBytes) + " held=" + std::to_string(state.heldBytes) + " registry=" + std::to_string(state.registryBytes)
+        + " proposed=" + std::to_string(leader.proposedBytes) + " open=" + std::to_string(leader.openBytes)
+        + " max=" + std::to_string(leader.options.maxHeldBytes);
+    output.decisions.push_back(std::move(decision));
+    refuse(token, model::Reason::StateFull, output);
+}
 }
 
 namespace
@@ -139,12 +148,7 @@
     const std::uint64_t neededBytes = job::acceptedBytes(*record.spec);
     if (!internal::hasRoomFor(leader, state, neededBytes)) {
         ++leader.counters.jobsWithoutRoom;
-        output.decisions.push_back({"job-refused",
-                                    id,
-                                    "needed=" + std::to_string(neededBytes) + " held=" + std::to_string(state.heldBytes)
-                                        + " proposed=" + std::to_string(leader.proposedBytes) + " open=" + std::to_string(leader.openBytes)
-                                        + " max=" + std::to_string(leader.options.maxHeldBytes)});
-        refuse(token, model::Reason::StateFull, output);
+        internal::refuseWithoutRoom(leader, state, token, {"job-refused", id, {}}, neededBytes, output);
         return;
     }
     leader.proposedBytes += neededBytes;
@@ -220,6 +224,12 @@
         answer(token, std::move(reply), output); // A repeated or outdated plan; nothing changes.
         return;
     }
+    const std::uint64_t neededBytes = job::planBytes(*request.plan);
+    const std::uint64_t heldBytes = state.plan.version > 0 ? job::planBytes(state.plan) : 0;
+    if (neededBytes > heldBytes && !internal::hasRegistryRoomFor(leader, state, neededBytes - heldBytes)) {
+        internal::refuseWithoutRoom(leader, state, token, {"plan-refused", std::to_string(version), {}}, neededBytes, output);
+        return;
+    }
     std::vector<Token> &waiting = leader.pendingPlans[version];
     waiting.push_back(token);
     if (waiting.size() == 1) {
@@ -246,6 +256,11 @@
         answer(token, {}, output);
         return;
     }
+    const std::uint64_t neededBytes = request.wave ? job::waveBytes(*request.wave) : 0;
+    if (!internal::hasRegistryRoomFor(leader, state, neededBytes)) {
+        internal::refuseWithoutRoom(leader, state, token, {"wave-refused", std::to_string(number), {}}, neededBytes, output);
+        return;
+    }
     std::vector<Token> &waiting = leader.pendingWaves[number];
     waiting.push_back(token);
     if (waiting.size() == 1) {
--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -1,4 +1,5 @@
 #include "deployment/leader.h"
+#include "job/footprint.h"
 #include "model/key.h"
 
 #include <algorithm>
@@ -350,6 +351,13 @@
         refuse(token, model::Reason::BadKey, output);
         return;
     }
+    const auto registered = leader.upstreamNumbers.find(seen.id);
+    const std::uint64_t neededBytes = job::upstreamBytes(seen);
+    const std::uint64_t heldBytes = registered == leader.upstreamNumbers.end() ? 0 : job::upstreamBytes(leader.upstreams.at(registered->second).registration);
+    if (neededBytes > heldBytes && !hasRegistryRoomFor(leader, state, neededBytes - heldBytes)) {
+        refuseWithoutRoom(leader, state, token, {"upstream-refused", seen.id, {}}, neededBytes, output);
+        return;
+    }
     output.replies.push_back({token, {}});
     if (!isOfUsableUpstream(leader, state, seen)) {
         ++leader.counters.badHeartbeats;
--- a/Source/deployment/leaderwaiting.cpp
+++ b/Source/deployment/leaderwaiting.cpp
@@ -90,9 +90,14 @@
     }
 }
 
+bool hasRegistryRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes)
+{
+    return state.registryBytes + bytes <= leader.options.maxHeldBytes / 4 * 3;
+}
+
 bool hasRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes)
 {
-    return state.heldBytes + leader.proposedBytes + leader.openBytes + bytes <= leader.options.maxHeldBytes;
+    return state.heldBytes + state.registryBytes + leader.proposedBytes + leader.openBytes + bytes <= leader.options.maxHeldBytes;
 }
 
 namespace
--- a/Source/job/jobimage.cpp
+++ b/Source/job/jobimage.cpp
@@ -156,6 +156,7 @@
     }
     Wave &wave = state.waves[image.started()->wave()];
     image.started()->UnPackTo(&wave.started);
+    state.registryBytes += waveBytes(wave.started);
     if (image.machines() != nullptr) {
         for (const wire::WaveMachine *machine : *image.machines()) {
             wire::WaveMachineT entry;
@@ -218,11 +219,14 @@
     }
     if (image->upstreams() != nullptr) {
         for (const wire::UpstreamSeen *upstream : *image->upstreams()) {
-            upstream->UnPackTo(&state.upstreams[upstream->number()]);
+            wire::UpstreamSeenT &registration = state.upstreams[upstream->number()];
+            upstream->UnPackTo(&registration);
+            state.registryBytes += upstreamBytes(registration);
         }
     }
     if (image->plan() != nullptr) {
         image->plan()->UnPackTo(&state.plan);
+        state.registryBytes += state.plan.version > 0 ? planBytes(state.plan) : 0;
     }
     if (image->waves() != nullptr) {
         for (const wire::WaveState *wave : *image->waves()) {
--- a/Source/job/jobs.cpp
+++ b/Source/job/jobs.cpp
@@ -197,7 +197,9 @@
     if (plan.version <= state.plan.version) {
         return;
     }
+    state.registryBytes -= state.plan.version > 0 ? planBytes(state.plan) : 0;
     state.plan = plan;
+    state.registryBytes += planBytes(plan);
     for (auto &[number, job] : state.jobs) {
         if (!hasEnded(job.phase) && hasUsedUpAttempts(state, job)) {
             endJob(job, Phase::Failed, job.acceptedAtMs);
@@ -299,6 +301,15 @@
     }
 }
 
+void removeUpstream(State &state, std::uint32_t number)
+{
+    const auto found = state.upstreams.find(number);
+    if (found != state.upstreams.end()) {
+        state.registryBytes -= upstreamBytes(found->second);
+        state.upstreams.erase(found);
+    }
+}
+
 void applyWaveStart(State &state, const wire::WaveStartedT &record)
 {
     if (state.waves.count(record.wave) > 0) {
@@ -306,6 +317,7 @@
     }
     Wave &wave = state.waves[record.wave];
     wave.started = record;
+    state.registryBytes += waveBytes(record);
     for (const std::string &machine : record.machines) {
         wave.machines[machine].machine = machine;
     }
@@ -357,9 +369,11 @@
             upstream.number = state.nextUpstream;
         }
         state.nextUpstream = std::max(state.nextUpstream, upstream.number + 1);
+        removeUpstream(state, upstream.number);
+        state.registryBytes += upstreamBytes(upstream);
         state.upstreams[upstream.number] = std::move(upstream);
     } else if (const auto *gone = record.change.AsUpstreamGone()) {
-        state.upstreams.erase(gone->number);
+        removeUpstream(state, gone->number);
     } else if (const auto *plan = record.change.AsPlanAccepted()) {
         applyPlan(state, *plan);
     } else if (const auto *wave = record.change.AsWaveStarted()) {
--- a/Source/job/jobs.h
+++ b/Source/job/jobs.h
@@ -112,6 +112,7 @@
     wire::PlanAcceptedT plan; ///< Version 0 before the first plan.
     std::map<std::uint64_t, Wave> waves;
     std::uint64_t heldBytes = 0; ///< Memory for all jobs, as job/footprint.h estimates it.
+    std::uint64_t registryBytes = 0; ///< Memory for the plan, the upstreams and the waves, estimated likewise.
 };
 
 /** Applies a record. @param state the state to change. @param record a committed record; record types of other logs are ignored. */
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -594,6 +594,46 @@
     CHECK(submitAsCaller(test, "more", jobOf(20000)) == model::Reason::None);
 }
 
+/** Plans, upstreams and waves took memory without a bound. Jobs that fill theirs must not keep out the upstreams that work them off. */
+TEST_CASE(Leader, PlansUpstreamsAndWavesWithoutRoomAreRefused)
+{
+    LeaderTest test = makeLeader({"u1"});
+    putPlan(test, true);
+    test.leader.options.maxHeldBytes = 4U << 20U;
+    while (submitAsCaller(test, "j" + std::to_string(test.state.nextJob), jobOf(20000)) == model::Reason::None) { }
+    const auto ask = [&](wire::Operation operation, std::size_t bytes) {
+        wire::RequestT request;
+        request.operation = operation;
+        request.plan = std::make_unique<wire::PlanAcceptedT>(test.state.plan);
+        ++request.plan->version;
+        request.plan->text = std::string(bytes, 't');
+        request.plan->services.push_back(std::make_unique<wire::ServiceSpecT>());
+        request.plan->services.back()->name = "s";
+        request.wave = std::make_unique<wire::WaveStartedT>();
+        request.wave->wave = bytes;
+        request.wave->machines = {std::string(bytes, 'm')};
+        request.beat = std::make_unique<wire::UpstreamBeatT>();
+        request.beat->seen = std::make_unique<wire::UpstreamSeenT>();
+        request.beat->seen->id = "u" + std::to_string(bytes);
+        request.beat->seen->service = "s";
+        request.beat->seen->address = "address" + std::to_string(bytes);
+        request.beat->seen->labels = {std::string(bytes, 'l')};
+        LeaderOutput output;
+        handleRequest(test.leader, test.state, 1, std::move(request), test.now, output);
+        const bool refused = !output.replies.empty() && output.replies.front().reply.error == static_cast<std::uint16_t>(model::Reason::StateFull);
+        CHECK_EQUAL(refused, output.proposals.empty());
+        collect(test, std::move(output));
+        return refused;
+    };
+    for (const wire::Operation operation : {wire::Operation::PlanPut, wire::Operation::StartWave, wire::Operation::UpstreamBeat}) {
+        CHECK(ask(operation, 1U << 20U));
+        CHECK(!ask(operation, 1000));
+    }
+    const std::uint64_t registryBytes = test.state.registryBytes;
+    CHECK(registryBytes > 3000);
+    CHECK_EQUAL(registryBytes, job::decodeImage(job::encodeImage(test.state)).value().registryBytes);
+}
+
 /** Jobs whose records aren't committed yet take memory, too. */
 TEST_CASE(Leader, JobsThatAreProposedCountForTheRoom)
 {
