deployment: Replace a long log early, and share one total with clients

Jobs, the log and clients had shares of their own that could exceed the memory together.

Cause: the log was bounded by its number of entries. And the allocator raises its threshold for mappings to the largest block that was freed, up to 32 MB, and keeps as much free memory at the end of each arena.

What the state and the log hold is taken off the total for clients, each second; connections leave half of the rest to requests. Blocks from 1 MiB have a mapping of their own.

The host of one of its neighbours became a struct for both.

--- a/Source/consensus/log.cpp
+++ b/Source/consensus/log.cpp
@@ -43,9 +43,22 @@
     return log.snapshotIndex + static_cast<std::uint64_t>(later - log.entries.begin());
 }
 
+void append(Log &log, wire::EntryT entry)
+{
+    log.entryBytes += entry.payload.size();
+    log.entries.push_back(std::make_shared<const wire::EntryT>(std::move(entry)));
+}
+
+void clearEntries(Log &log)
+{
+    log.entries.clear();
+    log.entryBytes = 0;
+}
+
 void truncateFrom(Log &log, std::uint64_t index)
 {
     while (!log.entries.empty() && lastIndex(log) >= index) {
+        log.entryBytes -= log.entries.back()->payload.size();
         log.entries.pop_back();
     }
 }
@@ -53,6 +66,7 @@
 void discardThrough(Log &log, std::uint64_t index)
 {
     while (!log.entries.empty() && log.snapshotIndex < index) {
+        log.entryBytes -= log.entries.front()->payload.size();
         log.entries.pop_front();
         ++log.snapshotIndex;
     }
--- a/Source/consensus/log.h
+++ b/Source/consensus/log.h
@@ -19,8 +19,15 @@
     wire::MembershipT snapshotMembership; ///< Membership at that index.
     wire::Bytes snapshotImage; ///< State of the application at that index.
     std::deque<EntryPointer> entries; ///< Entries after the snapshot.
+    std::uint64_t entryBytes = 0; ///< Total size of the payloads of the entries.
 };
 
+/** Adds an entry at the end. @param log a log. @param entry the entry. */
+void append(Log &log, wire::EntryT entry);
+
+/** Removes all entries after the snapshot. @param log a log. */
+void clearEntries(Log &log);
+
 /** @param log a log. @return the index of its last entry. */
 std::uint64_t lastIndex(const Log &log);
 
--- a/Source/consensus/node.cpp
+++ b/Source/consensus/node.cpp
@@ -58,13 +58,13 @@
 void restoreEntry(Node &node, wire::EntryT &&entry)
 {
     if (entry.index == lastIndex(node.log) + 1) {
-        node.log.entries.push_back(std::make_shared<const wire::EntryT>(std::move(entry)));
+        append(node.log, std::move(entry));
     }
 }
 
 void restoreSnapshot(Node &node, wire::SnapshotImageT &&snapshot)
 {
-    node.log.entries.clear();
+    clearEntries(node.log);
     node.log.snapshotIndex = snapshot.lastIndex;
     node.log.snapshotTerm = snapshot.lastTerm;
     node.log.snapshotImage = std::move(snapshot.image);
--- a/Source/consensus/replication.cpp
+++ b/Source/consensus/replication.cpp
@@ -141,7 +141,7 @@
         truncate.index = entry.index;
         output.persist.push_back(makeJournalRecord(truncate));
     }
-    node.log.entries.push_back(std::make_shared<const wire::EntryT>(entry));
+    append(node.log, entry);
     output.persist.push_back(makeJournalRecord(entry));
     return true;
 }
@@ -196,7 +196,7 @@
     entry.kind = kind;
     entry.payload = std::move(payload);
     output.persist.push_back(makeJournalRecord(entry));
-    node.log.entries.push_back(std::make_shared<const wire::EntryT>(std::move(entry)));
+    append(node.log, std::move(entry));
     if (kind == wire::EntryKind::Membership) {
         refreshMembership(node);
     }
@@ -445,7 +445,7 @@
         // The entries after the snapshot may have been committed with the acknowledgement of this member.
         discardThrough(node.log, request.lastIndex);
     } else {
-        node.log.entries.clear();
+        clearEntries(node.log);
         node.persisted = 0;
     }
     node.log.snapshotIndex = request.lastIndex;
--- a/Source/daemon/deploymentdaemon.cpp
+++ b/Source/daemon/deploymentdaemon.cpp
@@ -43,6 +43,11 @@
 constexpr std::uint64_t maxOpenOrders = 2000;
 /** Arenas of the allocator. Its default of eight for each processor of the machine keeps too much free memory for a process with a thread per connection. */
 constexpr int maxArenas = 8;
+/** Blocks from this size have a mapping of their own and return their memory at once. The allocator would raise its threshold to the largest freed block, and
+ * keep as much free memory in each arena. */
+constexpr int mappedBytes = 1 << 20;
+/** Free memory at the end of an arena that the allocator keeps. */
+constexpr int maxFreeTopBytes = 1 << 21;
 /** Maximum number of requests of callers that wait for an answer at a time. */
 constexpr std::uint64_t maxWaiters = 2000;
 /** Silence after which a connection to another host is closed; heartbeats are sent four times within this time. */
@@ -154,6 +159,7 @@
     options.leader.drainMs = settings.drainMs;
     options.leader.keepJobsMs = settings.keepJobsMs;
     options.leader.maxHeldBytes = maxHeldBytes(settings.memoryMb);
+    options.maxLogBytes = std::min(options.maxLogBytes, (settings.memoryMb << 20U) / 16);
     options.leader.overload = settings.overload;
     options.leader.maxSilenceMs = settings.heartbeatMs * 5 / 2;
     return options;
@@ -335,6 +341,7 @@
             m_ready = view.ready;
         };
         sinks.measure = [this](const deployment::Host &host) {
+            m_clients->setTakenBytes(deployment::heldBytes(host));
             if (const std::uint64_t dropped = m_logLimit.takeDroppedCount()) {
                 telemetry::log(Event::LinesDropped, {{"count", std::to_string(dropped)}});
             }
@@ -560,6 +567,8 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
     ::mallopt(M_ARENA_MAX, maxArenas);
+    ::mallopt(M_MMAP_THRESHOLD, mappedBytes);
+    ::mallopt(M_TRIM_THRESHOLD, maxFreeTopBytes);
     telemetry::openLog(telemetry::standardOutput, "info");
     const auto settings = readSettingsOrLog(file);
     if (!settings) {
--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -144,6 +144,8 @@
     appendMetric(text, "plan_version", host.state.plan.version);
     appendMetric(text, "jobs", host.state.jobs.size());
     appendMetric(text, "held_bytes", host.state.heldBytes);
+    appendMetric(text, "registry_bytes", host.state.registryBytes);
+    appendMetric(text, "log_bytes", host.node ? host.node->log.entryBytes : 0);
     appendMetric(text, "held_bytes_max", host.options.leader.maxHeldBytes);
     appendMetric(text, "jobs_without_room_total", host.leader.counters.jobsWithoutRoom);
     appendMetric(text, "jobs_overloaded_total", host.leader.counters.jobsOverloaded);
@@ -183,6 +185,8 @@
     appendMetric(text, "client_body_bytes", usage.bodyBytes);
     appendMetric(text, "client_body_bytes_max", clients.limits().maxBodyBytes);
     appendMetric(text, "client_parse_bytes", usage.parseBytes);
+    appendMetric(text, "client_bytes", usage.totalBytes);
+    appendMetric(text, "client_bytes_max", clients.limits().maxBytes);
     return text;
 }
 }
--- a/Source/deployment/host.cpp
+++ b/Source/deployment/host.cpp
@@ -56,7 +56,9 @@
 {
     consensus::Node &node = *host.node;
     if (host.pendingImage.empty()) {
-        if (node.applied - node.log.snapshotIndex < host.options.snapshotEveryEntries || node.applied < host.nextSnapshotIndex) {
+        const std::uint64_t applied = node.applied - node.log.snapshotIndex;
+        const bool due = applied >= host.options.snapshotEveryEntries || (applied > 0 && node.log.entryBytes >= host.options.maxLogBytes);
+        if (!due || node.applied < host.nextSnapshotIndex) {
             return;
         }
         host.pendingImage = job::encodeImage(host.state);
@@ -304,6 +306,11 @@
     return host.node && host.leader.active && consensus::isReadyLeader(*host.node) && consensus::holdsLease(*host.node, now.monotonicMs);
 }
 
+std::uint64_t heldBytes(const Host &host)
+{
+    return host.state.heldBytes + host.state.registryBytes + host.leader.proposedBytes + host.leader.openBytes + (host.node ? host.node->log.entryBytes : 0);
+}
+
 bool isReady(const Host &host, const Now &now)
 {
     if (host.draining) {
--- a/Source/deployment/host.h
+++ b/Source/deployment/host.h
@@ -39,6 +39,7 @@
     std::size_t minVoters = 3; ///< Minimum of voters and learners that are ready to vote after a voter is removed.
     std::size_t maxVoters = 7;
     std::uint64_t snapshotEveryEntries = 4000; ///< Limits what a joining host has to fetch, so that it catches up within seconds.
+    std::uint64_t maxLogBytes = std::uint64_t{16} << 20U; ///< Size of the entries since the last snapshot from which another one is taken.
     std::uint64_t maxSnapshotDelayMs = 2000; ///< How long a snapshot is delayed for members that are slightly behind.
     LeaderOptions leader;
     CourierOptions couriers;
@@ -243,6 +244,9 @@
 /** @param host a host. @param now the current time. @return whether it can serve callers. */
 bool isReady(const Host &host, const Now &now);
 
+/** @param host a host. @return the memory that its state and its log take, as job/footprint.h estimates it. */
+std::uint64_t heldBytes(const Host &host);
+
 /** @param host a host. @param now the current time. @return whether it leads the group and holds a valid leader lease. */
 bool isActiveLeader(const Host &host, const Now &now);
 
--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -126,15 +126,32 @@
     return m_limits;
 }
 
-/** @return all memory of clients. Connections that were closed count until their threads have ended. */
+void ClientTable::setTakenBytes(std::uint64_t bytes)
+{
+    const std::lock_guard lock(m_mutex);
+    m_takenBytes = bytes;
+}
+
 std::uint64_t ClientTable::totalBytes() const
 {
-    return m_connections.size() * bytesPerConnection + m_bodyBytes + m_parseBytes;
+    return m_open * bytesPerConnection + m_bodyBytes + m_parseBytes;
+}
+
+/** @return the memory that is left to clients. */
+std::uint64_t ClientTable::maxBytes() const
+{
+    return m_limits.maxBytes - std::min(m_takenBytes, m_limits.maxBytes);
+}
+
+/** @return the number of connections that may be open: they leave half of the memory to requests. */
+std::uint64_t ClientTable::maxOpen() const
+{
+    return std::min(m_limits.maxConnections, std::max(minConnections, maxBytes() / 2 / bytesPerConnection));
 }
 
 bool ClientTable::fits(std::uint64_t bytes) const
 {
-    return totalBytes() + bytes <= m_limits.maxBytes;
+    return totalBytes() + bytes <= maxBytes();
 }
 
 ClientUsage ClientTable::usage() const
@@ -152,7 +169,7 @@
 {
     const std::uint64_t nowMs = m_clock();
     const std::lock_guard lock(m_mutex);
-    return m_open < m_limits.maxConnections || nowMs >= m_nextSearchMs;
+    return m_open < maxOpen() || nowMs >= m_nextSearchMs;
 }
 
 ClientConnection *ClientTable::add(int server, int descriptor)
@@ -162,7 +179,7 @@
     auto owned = std::make_unique<ClientConnection>();
     ClientConnection &connection = *owned;
     const std::lock_guard lock(m_mutex);
-    const bool atLimit = m_open >= m_limits.maxConnections;
+    const bool atLimit = m_open >= maxOpen();
     ClientConnection *victim = atLimit && nowMs >= m_nextSearchMs ? connectionVictim(nowMs) : nullptr;
     const bool full = atLimit && victim == nullptr;
     if (victim != nullptr) {
@@ -280,23 +297,22 @@
 /** @return the memory of clients up to which a body of a size may be parsed. */
 std::uint64_t ClientTable::maxParseTotal(std::uint64_t bodyBytes) const
 {
-    return bodyBytes <= freeParseBytes ? m_limits.maxBytes : m_limits.maxBytes - m_limits.maxBytes / reservedShare;
+    return bodyBytes <= freeParseBytes ? maxBytes() : maxBytes() - maxBytes() / reservedShare;
 }
 
 std::uint64_t ClientTable::acquireParsing(std::uint64_t bytes)
 {
     const bool isShort = bytes <= freeParseBytes;
-    const std::uint64_t maxTotal = maxParseTotal(bytes);
-    const std::uint64_t wanted = std::min(bytes * (isShort ? shortParseFactor : parseFactor), maxTotal / 2);
     std::unique_lock lock(m_mutex);
+    const std::uint64_t wanted = std::min(bytes * (isShort ? shortParseFactor : parseFactor), maxParseTotal(bytes) / 2);
     if (isShort) {
-        const bool admitted = totalBytes() + wanted <= maxTotal;
+        const bool admitted = totalBytes() + wanted <= maxParseTotal(bytes);
         m_parseBytes += admitted ? wanted : 0;
         return admitted ? wanted : 0;
     }
     const auto place = m_parseQueue.insert(m_parseQueue.end(), wanted);
     const bool admitted = m_parseChanged.wait_for(lock, parseWait, [&] {
-        return place == m_parseQueue.begin() && totalBytes() + wanted <= maxTotal;
+        return place == m_parseQueue.begin() && totalBytes() + wanted <= maxParseTotal(bytes);
     });
     m_parseQueue.erase(place);
     m_parseBytes += admitted ? wanted : 0;
@@ -416,7 +432,7 @@
     const auto busiest = std::max_element(m_openByServer.begin(), m_openByServer.end(), [](const auto &a, const auto &b) {
         return a.second < b.second;
     });
-    if (m_connected.size() > m_limits.maxConnections / maxConnectedShare && m_connected.front()->server == busiest->first) {
+    if (m_connected.size() > maxOpen() / maxConnectedShare && m_connected.front()->server == busiest->first) {
         return m_connected.front();
     }
     const auto rank = [nowMs](const ClientConnection &connection) {
--- a/Source/transport/clienttable.h
+++ b/Source/transport/clienttable.h
@@ -113,6 +113,8 @@
     void startExpiry();
     /** @return the limits. */
     const ClientLimits &limits() const;
+    /** Tells how much of the clients' memory the rest of the process has taken, such as for jobs. @param bytes the memory. */
+    void setTakenBytes(std::uint64_t bytes);
     /** @return what the clients use. */
     ClientUsage usage() const;
 
@@ -158,6 +160,8 @@
     void close(ClientConnection &connection, model::Reason reason);
     void leaveConnected(ClientConnection &connection);
     std::uint64_t totalBytes() const;
+    std::uint64_t maxBytes() const;
+    std::uint64_t maxOpen() const;
     std::uint64_t maxParseTotal(std::uint64_t bodyBytes) const;
     bool fits(std::uint64_t bytes) const;
 
@@ -169,6 +173,7 @@
     std::list<ClientConnection *> m_connected; ///< Open connections in the phase Connected, the oldest first.
     std::uint64_t m_open = 0;
     std::uint64_t m_nextSearchMs = 0; ///< No connection to close is searched for before this time.
+    std::uint64_t m_takenBytes = 0;
     std::uint64_t m_bodyBytes = 0;
     std::uint64_t m_closedSinceLog = 0;
     std::uint64_t m_refusedSinceLog = 0;
--- a/Tests/deployment/snapshots.cpp
+++ b/Tests/deployment/snapshots.cpp
@@ -48,6 +48,51 @@
         }
     }
 }
+
+/** The only control host of a deployment; it leads. */
+struct SingleHost
+{
+    deployment::Now now{1000, 1000};
+    std::error_code error;
+    deployment::Host host;
+    std::vector<deployment::Decision> decisions;
+
+    explicit SingleHost(const deployment::HostOptions &options)
+        : host(deployment::makeHost(options, 1, journalWith({}), 1, now, error))
+    {
+        for (int i = 0; i < 200 && !deployment::isActiveLeader(host, now); ++i) {
+            now.monotonicMs += 20;
+            step([&](deployment::HostOutput &output) {
+                deployment::tick(host, now, output);
+            });
+        }
+        CHECK(deployment::isActiveLeader(host, now));
+    }
+
+    void step(const std::function<void(deployment::HostOutput &)> &action)
+    {
+        deployment::HostOutput output;
+        action(output);
+        deployment::endRound(host, now, output);
+        for (const deployment::Decision &decision : confirmWrites(host, std::move(output), now)) {
+            decisions.push_back(decision);
+        }
+    }
+
+    /** Puts the next plan in force. */
+    void put(wire::PlanAcceptedT plan)
+    {
+        wire::RequestT request;
+        request.operation = wire::Operation::PlanPut;
+        request.waitMs = 1000;
+        request.plan = std::make_unique<wire::PlanAcceptedT>(std::move(plan));
+        const std::uint64_t version = host.state.plan.version + 1;
+        request.plan->version = version;
+        step([&](deployment::HostOutput &output) {
+            deployment::handleLocalRequest(host, 100 + version, std::move(request), now, output);
+        });
+    }
+};
 }
 
 /** A host whose snapshot couldn't be read began with the empty state, voted, led and answered as if nothing had ever been accepted. */
@@ -102,42 +147,34 @@
     CHECK_TEXT("", violationsText(fleet));
 }
 
+/** A log of few but long records grew until the number of its entries asked for a snapshot. */
+TEST_CASE(Snapshots, ALogOfLongRecordsIsReplacedEarly)
+{
+    deployment::HostOptions options = controlOptions();
+    options.maxLogBytes = 100000;
+    SingleHost single(options);
+    for (int i = 0; i < 20; ++i) {
+        wire::PlanAcceptedT plan;
+        plan.text = std::string(30000, 'p');
+        single.put(std::move(plan));
+        CHECK(single.host.node->log.entryBytes < 200000);
+    }
+    CHECK_EQUAL(std::uint64_t{20}, single.host.state.plan.version);
+    CHECK(single.host.node->log.snapshotIndex > 10);
+    CHECK(deployment::heldBytes(single.host) > single.host.node->log.entryBytes);
+}
+
 /** A snapshot that no frame can hold would leave every host that joins without the state; the records that it stands for are kept. */
 TEST_CASE(Snapshots, ASnapshotThatCannotBeSentReplacesNothing)
 {
     deployment::HostOptions options = controlOptions();
     constexpr std::uint64_t entries = 5;
     options.snapshotEveryEntries = entries;
-    deployment::Now now{1000, 1000};
-    std::error_code error;
-    deployment::Host host = deployment::makeHost(options, 1, journalWith({}), 1, now, error);
-    std::vector<deployment::Decision> decisions;
-    const auto step = [&](const std::function<void(deployment::HostOutput &)> &action) {
-        deployment::HostOutput output;
-        action(output);
-        deployment::endRound(host, now, output);
-        for (const deployment::Decision &decision : confirmWrites(host, std::move(output), now)) {
-            decisions.push_back(decision);
-        }
-    };
-    for (int i = 0; i < 200 && !deployment::isActiveLeader(host, now); ++i) {
-        now.monotonicMs += 20;
-        step([&](deployment::HostOutput &output) {
-            deployment::tick(host, now, output);
-        });
-    }
-    CHECK(deployment::isActiveLeader(host, now));
+    SingleHost single(options);
+    deployment::Host &host = single.host;
     const auto putPlans = [&] {
         for (std::uint64_t i = 0; i < entries; ++i) {
-            wire::RequestT request;
-            request.operation = wire::Operation::PlanPut;
-            request.waitMs = 1000;
-            request.plan = std::make_unique<wire::PlanAcceptedT>();
-            const std::uint64_t version = host.state.plan.version + 1;
-            request.plan->version = version;
-            step([&](deployment::HostOutput &output) {
-                deployment::handleLocalRequest(host, 100 + version, std::move(request), now, output);
-            });
+            single.put({});
         }
     };
     job::Job job;
@@ -148,7 +185,7 @@
     putPlans();
     CHECK_EQUAL(std::uint64_t{1}, host.node->log.snapshotIndex);
     CHECK_EQUAL(std::uint64_t{2}, host.snapshotsRefused);
-    CHECK(std::any_of(decisions.begin(), decisions.end(), [](const deployment::Decision &decision) {
+    CHECK(std::any_of(single.decisions.begin(), single.decisions.end(), [](const deployment::Decision &decision) {
         return decision.name == "snapshot-refused";
     }));
     host.state.jobs.clear();
--- a/Tests/transport/clienttable.cpp
+++ b/Tests/transport/clienttable.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -247,6 +248,48 @@
     CHECK(!idle.closed);
 }
 
+// Guards against memory beyond that of the machine, whatever clients send and whatever the jobs of the process take.
+TEST_CASE(ClientTable, TheMemoryOfClientsStaysWithinThatOfTheProcess)
+{
+    constexpr std::uint64_t megabyte = kilobyte * kilobyte;
+    constexpr std::uint64_t connectionsPerRound = 40;
+    std::minstd_rand random(1);
+    for (std::uint64_t memoryMb = 64; memoryMb <= 1024; memoryMb += 64) {
+        ClientLimits limits = deriveClientLimits(memoryMb, 4096);
+        CHECK(limits.maxBytes + 32 * megabyte <= memoryMb * megabyte);
+        Fixture fixture(limits);
+        std::vector<ClientConnection *> open;
+        for (int round = 0; round < 30; ++round) {
+            const std::uint64_t takenBytes = random() % (limits.maxBytes + limits.maxBytes / 8);
+            fixture.table.setTakenBytes(takenBytes);
+            std::uint64_t shortBytes = 0; // Of responses that are always sent.
+            for (std::uint64_t i = 0; i < connectionsPerRound; ++i) {
+                ClientConnection &connection = fixture.connect();
+                const std::uint64_t usedBefore = fixture.table.usage().totalBytes;
+                const std::uint64_t bytes = random() % (5 * megabyte);
+                fixture.table.beginRequest(connection, "/");
+                fixture.table.beginBody(connection, bytes);
+                if (fixture.table.append(connection, std::string(bytes, 'x'), 5 * megabyte) == Reason::None) {
+                    CHECK(fixture.table.usage().totalBytes <= std::max(usedBefore, limits.maxBytes - std::min(takenBytes, limits.maxBytes)));
+                }
+                if (random() % 2 == 0 && fixture.table.beginHandling(connection)) {
+                    const std::uint64_t responseBytes = random() % 2 == 0 ? 100 : bytes;
+                    const bool sent = fixture.table.beginSending(connection, responseBytes);
+                    CHECK(sent || responseBytes > 16 * kilobyte);
+                    shortBytes += responseBytes <= 16 * kilobyte ? responseBytes : 0;
+                }
+                open.push_back(&connection);
+                fixture.nowMs += random() % 300;
+            }
+            CHECK(fixture.table.usage().totalBytes <= limits.maxBytes + shortBytes);
+            for (std::size_t i = open.size(); i > connectionsPerRound; --i) {
+                fixture.table.remove(open.back());
+                open.pop_back();
+            }
+        }
+    }
+}
+
 // Guards against responses that nobody reads: they make room for another one, or else it isn't sent.
 TEST_CASE(ClientTable, LongResponsesStayWithinTheMemory)
 {
