transport: Handle the largest bodies one at a time

A body above a 64th of the clients' memory waits, in order of arrival, until the one before it is answered. Bodies of callers never reach that size. Charging more copies was ruled out: the estimate of the state is high enough that no long plan would pass beside another one in force.

--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -33,6 +33,8 @@
 constexpr std::uint64_t shortParseFactor = 48;
 /** Part of the memory of clients that is left to small bodies and to connections when long bodies are parsed: one of 8. */
 constexpr std::uint64_t reservedShare = 8;
+/** Bodies larger than one of this many parts of the clients' memory are handled one at a time. */
+constexpr std::uint64_t largestShare = 64;
 /** Memory of a process without its clients and jobs: the program, its stacks, and freed memory that the allocator keeps. */
 constexpr std::uint64_t processBytes = std::uint64_t{32} << 20U;
 /** Largest parsed form whose freed memory stays in the allocator, in each of a few arenas. Returning it costs 40 us, 7 percent of a request of 24 KB. */
@@ -294,6 +296,12 @@
     connection.progressMs = nowMs;
 }
 
+/** @return whether bodies of a size are handled one at a time: their copies on the way to the log take many times their size. */
+bool ClientTable::isLargest(std::uint64_t bodyBytes) const
+{
+    return bodyBytes > m_limits.maxBytes / largestShare;
+}
+
 /** @return the memory of clients up to which a body of a size may be parsed. */
 std::uint64_t ClientTable::maxParseTotal(std::uint64_t bodyBytes) const
 {
@@ -312,10 +320,11 @@
     }
     const auto place = m_parseQueue.insert(m_parseQueue.end(), wanted);
     const bool admitted = m_parseChanged.wait_for(lock, parseWait, [&] {
-        return place == m_parseQueue.begin() && totalBytes() + wanted <= maxParseTotal(bytes);
+        return place == m_parseQueue.begin() && !(isLargest(bytes) && m_handlesLargest) && totalBytes() + wanted <= maxParseTotal(bytes);
     });
     m_parseQueue.erase(place);
     m_parseBytes += admitted ? wanted : 0;
+    m_handlesLargest = m_handlesLargest || (admitted && isLargest(bytes));
     m_parseChanged.notify_all();
     return admitted ? wanted : 0;
 }
@@ -343,8 +352,16 @@
     m_parseChanged.notify_all();
 }
 
+void ClientTable::endParsing(std::uint64_t bodyBytes)
+{
+    const std::lock_guard lock(m_mutex);
+    m_handlesLargest = m_handlesLargest && !isLargest(bodyBytes);
+    m_parseChanged.notify_all();
+}
+
 ParsePermit::ParsePermit(ClientTable &table, std::uint64_t bytes)
     : m_table(table)
+    , m_bodyBytes(bytes)
     , m_granted(true)
 {
     if (bytes == 0) {
@@ -364,6 +381,9 @@
     config::setThreadMeter(nullptr);
     threadPermit = nullptr;
     shrink(0);
+    if (m_granted) {
+        m_table.endParsing(m_bodyBytes);
+    }
 }
 
 bool ParsePermit::isGranted() const
--- a/Source/transport/clienttable.h
+++ b/Source/transport/clienttable.h
@@ -89,6 +89,7 @@
     void shrink(std::uint64_t bytes);
 
     ClientTable &m_table;
+    const std::uint64_t m_bodyBytes;
     config::MemoryMeter m_meter;
     bool m_granted = false;
 };
@@ -148,6 +149,8 @@
     bool growParsing(std::uint64_t bytes, std::uint64_t bodyBytes);
     /** Returns reserved memory. @param bytes the memory. */
     void returnParsing(std::uint64_t bytes);
+    /** Ends the turn of a body for which memory was reserved. @param bodyBytes size of the body. */
+    void endParsing(std::uint64_t bodyBytes);
 
     /** Closes connections whose requests take too long, and logs what was refused since the last call. */
     void expire();
@@ -163,6 +166,7 @@
     std::uint64_t maxBytes() const;
     std::uint64_t maxOpen() const;
     std::uint64_t maxParseTotal(std::uint64_t bodyBytes) const;
+    bool isLargest(std::uint64_t bodyBytes) const;
     bool fits(std::uint64_t bytes) const;
 
     const ClientLimits m_limits;
@@ -181,6 +185,7 @@
     std::condition_variable m_parseChanged;
     std::list<std::uint64_t> m_parseQueue; ///< Waiting bodies in order of arrival.
     std::uint64_t m_parseBytes = 0;
+    bool m_handlesLargest = false; ///< A body of the largest kind is being handled.
     std::atomic<std::uint64_t> m_untrimmedBytes{0};
 
     std::mutex m_expiryMutex;
--- a/Tests/transport/clienttable.cpp
+++ b/Tests/transport/clienttable.cpp
@@ -248,6 +248,35 @@
     CHECK(!idle.closed);
 }
 
+// Guards against several of the largest bodies on their way to the log at the same time.
+TEST_CASE(ClientTable, TheLargestBodiesAreHandledOneAtATime)
+{
+    ClientLimits limits;
+    ClientTable table(limits, [] {
+        return std::uint64_t{0};
+    });
+    constexpr std::uint64_t largest = 5 * kilobyte * kilobyte;
+    std::atomic<int> handled{0};
+    std::vector<std::thread> clients;
+    clients.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        clients.emplace_back([&table, &handled] {
+            const ParsePermit permit(table, largest);
+            CHECK(permit.isGranted());
+            ParsePermit::releaseJson();
+            CHECK_EQUAL(1, ++handled);
+            const ParsePermit small(table, 100);
+            CHECK(small.isGranted());
+            std::this_thread::yield();
+            --handled;
+        });
+    }
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    CHECK_EQUAL(std::uint64_t{0}, table.usage().parseBytes);
+}
+
 // Guards against memory beyond that of the machine, whatever clients send and whatever the jobs of the process take.
 TEST_CASE(ClientTable, TheMemoryOfClientsStaysWithinThatOfTheProcess)
 {
