telemetry: Cut off long values in lines of the log

Found by reading: 4,000 lines may wait while the output is read slowly, and a line may hold the path of a request, up to 32 KiB: 128 MB on any host.

A value is cut off after 2,000 bytes.

--- a/Source/telemetry/event.cpp
+++ b/Source/telemetry/event.cpp
@@ -7,6 +7,9 @@
 {
 namespace
 {
+/** Longer values are cut off. They may hold what a client sent, such as a path, and lines wait in a queue while the output is read slowly. */
+constexpr std::size_t maxValueLength = 2000;
+
 constexpr std::array eventTable{
     EventInfo{Event::Starting, Level::Info, "starting", "The process starts with checked settings."},
     EventInfo{Event::Ready, Level::Info, "ready", "The host serves callers; /readyz answers 200."},
@@ -59,18 +62,19 @@
 {
     std::string line = "RT-" + std::to_string(static_cast<int>(event)) + " " + std::string(eventInfo(event).name);
     for (const Field &field : fields) {
+        const std::string_view value = std::string_view(field.value).substr(0, maxValueLength);
         if (field.key.empty()) { // The value already consists of key=value pairs.
-            line += " " + field.value;
+            line.append(" ").append(value);
             continue;
         }
         line += " " + std::string(field.key) + "=";
-        const bool isUnquoted = field.value.find_first_of(" \"\n=") == std::string::npos && !field.value.empty();
+        const bool isUnquoted = value.find_first_of(" \"\n=") == std::string_view::npos && !value.empty();
         if (isUnquoted) {
-            line += field.value;
+            line += value;
             continue;
         }
         line += '"';
-        for (const char character : field.value) {
+        for (const char character : value) {
             line += character == '\n' || character == '"' ? ' ' : character;
         }
         line += '"';
--- a/Tests/telemetry/docs.cpp
+++ b/Tests/telemetry/docs.cpp
@@ -79,6 +79,13 @@
     CHECK_TEXT("RT-1002 ready host=h1 note=\"a b\"", telemetry::formatEvent(telemetry::Event::Ready, {{"host", "h1"}, {"note", "a\nb"}}));
 }
 
+// Guards against lines that hold all that a client sent, thousands of which wait while the output is read slowly.
+TEST_CASE(Event, LongValuesAreCutOff)
+{
+    const std::string path(30000, 'p');
+    CHECK(telemetry::formatEvent(telemetry::Event::Decision, {{"decision", "given-up"}, {"id", path}, {"", "path=" + path}}).size() < 5000);
+}
+
 TEST_CASE(LineLimit, CountsLinesAboveTheRate)
 {
     telemetry::LineLimit limit(2);
