transport: Leave a part of the memory to clients whatever jobs take

Found by reading: what jobs, the plan and the log have taken, by estimates that are high, could leave no memory to clients. Heartbeats would have been refused, and the upstreams that work the jobs off been lost.

A fifth of the clients' memory, at most 48 MB, is never taken from them: the bound of the jobs leaves as much beside the program and the log.

--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -90,6 +90,7 @@
     // A control host of 256 MB holds eight configurations of 5 MiB at once.
     limits.maxBodyBytes = bytes / 6;
     limits.maxBytes = bytes - std::min(processBytes, bytes / 2);
+    limits.reservedBytes = std::min(limits.reservedBytes, limits.maxBytes / 5);
     return limits;
 }
 
@@ -142,7 +143,7 @@
 /** @return the memory that is left to clients. */
 std::uint64_t ClientTable::maxBytes() const
 {
-    return m_limits.maxBytes - std::min(m_takenBytes, m_limits.maxBytes);
+    return m_limits.maxBytes - std::min(m_takenBytes, m_limits.maxBytes - std::min(m_limits.reservedBytes, m_limits.maxBytes));
 }
 
 /** @return the number of connections that may be open: they leave half of the memory to requests. */
--- a/Source/transport/clienttable.h
+++ b/Source/transport/clienttable.h
@@ -24,6 +24,7 @@
 {
     std::uint64_t maxConnections = 1000; ///< Open connections.
     std::uint64_t maxBytes = std::uint64_t{192} << 20U; ///< All memory of clients: connections, bodies, parsed forms and responses.
+    std::uint64_t reservedBytes = std::uint64_t{48} << 20U; ///< Part of maxBytes that is left to clients whatever jobs take: heartbeats end them.
     std::uint64_t maxBodyBytes = std::uint64_t{64} << 20U; ///< Bodies being received or handled, and responses being sent.
     std::uint64_t requestMs = 30000; ///< Time to send a request; each 8 KiB received extend it by one second.
 };
