deployment, transport: Do less for each heartbeat and request

Each heartbeat looked its upstream up twice and estimated the memory of two registrations, though only one that is registered anew needs room. Each request with or without a body took the lock of the client table to end a turn that only the largest bodies have.

The room is looked at where a registration changes, with one lookup; the turn ends without the lock otherwise. Decisions are unchanged.

--- a/Source/deployment/leaderupstreams.cpp
+++ b/Source/deployment/leaderupstreams.cpp
@@ -351,19 +351,21 @@
         refuse(token, model::Reason::BadKey, output);
         return;
     }
-    const auto registered = leader.upstreamNumbers.find(seen.id);
-    const std::uint64_t neededBytes = job::upstreamBytes(seen);
-    const std::uint64_t heldBytes = registered == leader.upstreamNumbers.end() ? 0 : job::upstreamBytes(leader.upstreams.at(registered->second).registration);
-    if (neededBytes > heldBytes && !hasRegistryRoomFor(leader, state, neededBytes - heldBytes)) {
-        refuseWithoutRoom(leader, state, token, {"upstream-refused", seen.id, {}}, neededBytes, output);
-        return;
+    const auto known = leader.upstreamNumbers.find(seen.id);
+    const wire::UpstreamSeenT *registration = known == leader.upstreamNumbers.end() ? nullptr : &leader.upstreams.at(known->second).registration;
+    if (registration == nullptr || registration->born != seen.born || !sameShape(seen, *registration)) { // Else nothing is registered.
+        const std::uint64_t neededBytes = job::upstreamBytes(seen);
+        const std::uint64_t heldBytes = registration == nullptr ? 0 : job::upstreamBytes(*registration);
+        if (neededBytes > heldBytes && !hasRegistryRoomFor(leader, state, neededBytes - heldBytes)) {
+            refuseWithoutRoom(leader, state, token, {"upstream-refused", seen.id, {}}, neededBytes, output);
+            return;
+        }
     }
     output.replies.push_back({token, {}});
     if (!isOfUsableUpstream(leader, state, seen)) {
         ++leader.counters.badHeartbeats;
         return;
     }
-    const auto known = leader.upstreamNumbers.find(seen.id);
     if (known == leader.upstreamNumbers.end()) {
         if (leader.joining.count(seen.id) == 0 && !isOutdatedAddress(leader, seen, now)) {
             confirmOthersAt(leader, seen, now);
--- a/Source/transport/clienttable.cpp
+++ b/Source/transport/clienttable.cpp
@@ -355,8 +355,13 @@
 
 void ClientTable::endParsing(std::uint64_t bodyBytes)
 {
-    const std::lock_guard lock(m_mutex);
-    m_handlesLargest = m_handlesLargest && !isLargest(bodyBytes);
+    if (!isLargest(bodyBytes)) {
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_handlesLargest = false;
+    }
     m_parseChanged.notify_all();
 }
 
