--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -484,6 +484,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     deployment = None
     code = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Ends the processes, too.
     try:
         if not os.path.exists(os.path.join(ROOT, role_command("control")[0])):
             raise CannotRun("the program isn't built; see the build command of deploy/system.toml")
