--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -445,7 +445,8 @@
         for node in self.nodes:
             node.start(first=True)
         for number in range(workers):
-            worker = Worker(self, number, service, f"z{number % 3 + 1}", capacity, labels(number) if labels else ["a", f"r{number // 8}"])
+            room = capacity(number) if callable(capacity) else capacity
+            worker = Worker(self, number, service, f"z{number % 3 + 1}", room, labels(number) if labels else ["a", f"r{number // 8}"])
             self.workers.append(worker)
             await worker.begin()
         await self.put_config(routes, (service,), timeout=STARTUP_S)
