--- a/review/14/case.py
+++ b/review/14/case.py
@@ -13,10 +13,11 @@
 GIVE_UP_S = 0.6  # Half the objective.
 CANCEL_S = 3.0  # cancel_ms.
 ROUNDS = 3
+FRONTS = 6  # As on the site: with the three core machines, one of nine stands still at a time.
 
 
 async def play_round(deployment, trouble):
-    frozen, other = deployment.fronts
+    frozen, other = deployment.fronts[:2]
     job = job_id()
     path = f"/q/{job}"
     deployment.outcomes[job] = lambda *_: (2.0, "done")
@@ -58,4 +59,4 @@
     return breaches
 
 
-play(case, HERE)
+play(case, HERE, FRONTS)
