deployment: Keep an answered cancellation for submissions that come later

Cause: a cancellation changed the state only if its job was already part of it. It didn't see a submission that was proposed and not committed, and one that overtook its submission left no trace.

Change: the cancellation of a proposed submission waits for the commit and is an ordinary one then. That of an unknown id is recorded as a tombstone, an ended job without steps, before it is answered; a submission that arrives later is recorded as a cancelled job without its steps.

--- a/Source/daemon/deploymentmetrics.cpp
+++ b/Source/daemon/deploymentmetrics.cpp
@@ -148,6 +148,10 @@
     appendMetric(text, "log_bytes", host.node ? host.node->log.entryBytes : 0);
     appendMetric(text, "held_bytes_max", host.options.leader.maxHeldBytes);
     appendMetric(text, "jobs_without_room_total", host.leader.counters.jobsWithoutRoom);
+    appendMetric(text, "tombstone_bytes", host.state.tombstoneBytes);
+    appendMetric(text, "tombstones_total", host.leader.counters.tombstones);
+    appendMetric(text, "tombstones_without_room_total", host.leader.counters.tombstonesWithoutRoom);
+    appendMetric(text, "jobs_cancelled_before_total", host.leader.counters.jobsCancelledBefore);
     appendMetric(text, "jobs_overloaded_total", host.leader.counters.jobsOverloaded);
     appendBacklog(text, host.leader.overload);
     appendMetric(text, "occurrences_without_room_total", host.leader.counters.occurrencesWithoutRoom);
--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -61,16 +61,6 @@
            });
 }
 
-std::vector<Token> &tokensOf(std::vector<Token> &tokens)
-{
-    return tokens;
-}
-
-std::vector<Token> &tokensOf(PendingSubmit &submit)
-{
-    return submit.tokens;
-}
-
 void answerAll(std::vector<Token> &tokens, const wire::ReplyT &reply, LeaderOutput &output)
 {
     for (const Token token : tokens) {
@@ -84,34 +74,71 @@
 {
     const auto found = waiting.find(key);
     if (found != waiting.end()) {
-        answerAll(tokensOf(found->second), reply, output);
+        answerAll(found->second, reply, output);
         waiting.erase(found);
     }
 }
 
+void refuseAll(std::span<const Token> tokens, LeaderOutput &output)
+{
+    for (const Token token : tokens) {
+        internal::refuse(token, model::Reason::LeadershipLost, output);
+    }
+}
+
 template<typename Map>
 void refuseWaiting(Map &waiting, LeaderOutput &output)
 {
-    for (auto &[key, entry] : waiting) {
-        for (const Token token : tokensOf(entry)) {
-            internal::refuse(token, model::Reason::LeadershipLost, output);
-        }
+    for (const auto &[key, tokens] : waiting) {
+        refuseAll(tokens, output);
     }
     waiting.clear();
 }
 
+void refuseSubmits(Leader &leader, LeaderOutput &output)
+{
+    for (const auto &[id, submit] : leader.pendingSubmits) {
+        refuseAll(submit.tokens, output);
+        refuseAll(submit.cancels, output);
+    }
+    leader.pendingSubmits.clear();
+}
+
+/** Answers the requests that waited for a tombstone. */
+void applyTombstone(Leader &leader, const std::string &id, LeaderOutput &output)
+{
+    wire::ReplyT reply;
+    reply.error = static_cast<std::uint16_t>(model::Reason::UnknownJob);
+    if (const auto submit = leader.pendingSubmits.extract(id)) {
+        ++leader.counters.tombstones;
+        answerAll(submit.mapped().tokens, reply, output);
+    }
+}
+
 void applyJobAccepted(Leader &leader, const job::State &state, const wire::JobAcceptedT &record, const Now &now, LeaderOutput &output)
 {
     const std::string &id = record.spec->id;
+    const bool tombstone = job::isTombstoneId(id);
     if (leader.pendingSubmits.count(id) > 0) {
-        leader.proposedBytes -= std::min(leader.proposedBytes, job::acceptedBytes(*record.spec));
+        const std::uint64_t bytes = job::acceptedBytes(*record.spec);
+        leader.proposedBytes -= std::min(leader.proposedBytes, bytes);
+        leader.proposedTombstoneBytes -= tombstone ? std::min(leader.proposedTombstoneBytes, bytes) : 0;
     }
     const auto number = state.jobNumberById.find(id);
     if (number == state.jobNumberById.end()) {
         return;
     }
+    if (tombstone) {
+        applyTombstone(leader, id, output);
+        return;
+    }
     const job::Job &job = state.jobs.at(number->second);
-    answerWaiting(leader.pendingSubmits, id, {}, output);
+    if (auto submit = leader.pendingSubmits.extract(id)) {
+        answerAll(submit.mapped().tokens, {}, output);
+        for (const Token token : submit.mapped().cancels) {
+            internal::cancelJob(leader, job, token, now, output);
+        }
+    }
     if (job::hasEnded(job.phase) || !leader.queuedJobs.insert(job.number).second) {
         return;
     }
@@ -202,7 +229,7 @@
         return;
     }
     leader.active = false;
-    refuseWaiting(leader.pendingSubmits, output);
+    refuseSubmits(leader, output);
     refuseWaiting(leader.pendingCancels, output);
     refuseWaiting(leader.pendingPlans, output);
     refuseWaiting(leader.pendingWaves, output);
--- a/Source/deployment/leader.h
+++ b/Source/deployment/leader.h
@@ -261,11 +261,12 @@
     std::uint64_t fence = 0; ///< Fence of a poll.
 };
 
-/** A submission whose record is proposed. */
+/** A job or a tombstone whose record is proposed. */
 struct PendingSubmit
 {
     JobOrigin origin;
     std::vector<Token> tokens; ///< Requests that wait for the record.
+    std::vector<Token> cancels; ///< Requests to cancel the job once it is recorded.
 };
 
 /** Upper bounds of the buckets of a latency histogram in milliseconds, from one round trip within a region to ten seconds. */
@@ -311,6 +312,9 @@
     std::uint64_t jobsGivenUp = 0; ///< Jobs that failed since too many upstreams crashed under one of their tasks.
     std::uint64_t jobsFailedByPlan = 0; ///< Jobs that failed with a plan, as a task had failed as often as the plan allows.
     std::uint64_t jobsWithoutRoom = 0; ///< Refusals of jobs that the state has no room for.
+    std::uint64_t tombstones = 0; ///< Cancellations of ids that no submission has used.
+    std::uint64_t tombstonesWithoutRoom = 0; ///< Refusals of such cancellations that the state has no room for.
+    std::uint64_t jobsCancelledBefore = 0; ///< Jobs that were submitted after the cancellation of their id.
     std::uint64_t callsWithoutKey = 0; ///< Calls rejected for lack of a key.
     std::uint64_t callsWithUnknownKey = 0; ///< Calls rejected as the plan doesn't contain their key.
     std::uint64_t callsForOtherTeam = 0; ///< Calls rejected as their job belongs to another team.
@@ -373,8 +377,9 @@
     policy::AdviceRoom adviceRoom; ///< What the advisers can take in this placement pass.
     bool stepsAwaitAdviser = false; ///< Steps had to wait for an adviser since most became busy.
     policy::ShortAdviceCalls shortRequests; ///< Short requests to the advice service, of all queues of the plan.
-    std::unordered_map<std::string, PendingSubmit> pendingSubmits; ///< By id of the job.
-    std::uint64_t proposedBytes = 0; ///< Memory for the jobs in pendingSubmits, whose records aren't committed.
+    std::unordered_map<std::string, PendingSubmit> pendingSubmits; ///< By id of the job or the tombstone.
+    std::uint64_t proposedBytes = 0; ///< Memory for the jobs and tombstones in pendingSubmits, whose records aren't committed.
+    std::uint64_t proposedTombstoneBytes = 0; ///< The part of proposedBytes that tombstones take.
     /** Memory for the occurrences that wait without a place in the state, by job and number. */
     std::map<std::pair<std::uint64_t, std::uint32_t>, std::uint64_t> openOccurrences;
     std::uint64_t openBytes = 0; ///< Sum of openOccurrences.
@@ -444,6 +449,7 @@
 namespace internal
 {
 // leaderrequests.cpp
+void cancelJob(Leader &leader, const job::Job &job, Token token, const Now &now, LeaderOutput &output);
 void refuse(Token token, model::Reason reason, LeaderOutput &output);
 void refuseWithoutRoom(const Leader &leader, const job::State &state, Token token, Decision decision, std::uint64_t neededBytes, LeaderOutput &output);
 
@@ -509,6 +515,7 @@
 void applyPlanToWaitingSteps(Leader &leader, const job::State &state, const Now &now, LeaderOutput &output);
 void enqueueDueSteps(Leader &leader, const job::State &state, const Now &now);
 bool hasRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes);
+bool hasTombstoneRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes);
 /** Whether the plan, an upstream or a wave fits. Jobs don't count, as those that have filled the memory may need a new plan or upstream to end. */
 bool hasRegistryRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes);
 void closePlacedOccurrences(Leader &leader, const wire::RunsPlacedT &record);
--- a/Source/deployment/leaderoverload.cpp
+++ b/Source/deployment/leaderoverload.cpp
@@ -152,6 +152,9 @@
         const auto number = state.jobNumberById.find(accepted->spec->id);
         if (number != state.jobNumberById.end() && number->second > leader.overload.lastSampled) {
             const job::Job &job = state.jobs.at(number->second);
+            if (job::hasEnded(job.phase)) {
+                return; // Cancelled before its submission, so that its size says nothing about its queue.
+            }
             leader.overload.lastSampled = number->second;
             policy::recordWork(leader.overload.queues[{job.spec.host, job.spec.prefix}].sizes, workOf(job.spec));
             setBacklog(leader, job, unplacedWork(job));
--- a/Source/deployment/leaderrequests.cpp
+++ b/Source/deployment/leaderrequests.cpp
@@ -7,6 +7,21 @@
 
 namespace rosemaryturn::deployment
 {
+namespace
+{
+void answer(Token token, wire::ReplyT reply, LeaderOutput &output)
+{
+    output.replies.push_back({token, std::move(reply)});
+}
+
+void answerPhase(Token token, const job::Job &job, LeaderOutput &output)
+{
+    wire::ReplyT reply;
+    reply.jobPhase = static_cast<std::int8_t>(job.phase);
+    answer(token, std::move(reply), output);
+}
+}
+
 namespace internal
 {
 void refuse(Token token, model::Reason reason, LeaderOutput &output)
@@ -24,23 +39,28 @@
     output.decisions.push_back(std::move(decision));
     refuse(token, model::Reason::StateFull, output);
 }
-}
 
-namespace
+/** Cancels a job, or answers with its phase if it has ended. */
+void cancelJob(Leader &leader, const job::Job &job, Token token, const Now &now, LeaderOutput &output)
 {
-using internal::refuse;
-
-void answer(Token token, wire::ReplyT reply, LeaderOutput &output)
-{
-    output.replies.push_back({token, std::move(reply)});
+    if (job::hasEnded(job.phase)) {
+        answerPhase(token, job, output);
+        return;
+    }
+    std::vector<Token> &waiting = leader.pendingCancels[job.number];
+    waiting.push_back(token);
+    if (waiting.size() == 1) {
+        wire::JobCancelledT record;
+        record.job = job.number;
+        record.atMs = now.wallMs;
+        output.proposals.push_back(wire::encodeChange(record));
+    }
+}
 }
 
-void answerPhase(Token token, const job::Job &job, LeaderOutput &output)
+namespace
 {
-    wire::ReplyT reply;
-    reply.jobPhase = static_cast<std::int8_t>(job.phase);
-    answer(token, std::move(reply), output);
-}
+using internal::refuse;
 
 /** What a request names. */
 struct Target
@@ -102,6 +122,81 @@
     return rejection == model::Reason::None;
 }
 
+/** @return whether the cancellation of an id by a team, before its submission, was answered or is being recorded. */
+bool hasTombstone(const Leader &leader, const job::State &state, const JobOrigin &origin, const std::string &team, const std::string &id)
+{
+    const std::string tombstone = job::tombstoneId(origin.host, origin.prefix, team, id);
+    return state.jobNumberById.count(tombstone) > 0 || leader.pendingSubmits.count(tombstone) > 0;
+}
+
+/** @return whether the id of a submission was cancelled in its queue by a caller that may cancel the job, as authorizeJobAccess() decides it: its own team,
+ * any caller before the plan required keys, and any team for a job without one. */
+bool isCancelledBefore(const Leader &leader, const job::State &state, const JobOrigin &origin, const std::string &id)
+{
+    const bool anyTombstone = state.tombstoneBytes + leader.proposedTombstoneBytes > 0;
+    return anyTombstone
+        && (hasTombstone(leader, state, origin, origin.team, id) || hasTombstone(leader, state, origin, {}, id)
+            || (origin.team.empty() && std::any_of(state.plan.teams.begin(), state.plan.teams.end(), [&](const auto &team) {
+                    return hasTombstone(leader, state, origin, team->name, id);
+                })));
+}
+
+/** Reserves the memory for a job or a tombstone that is about to be proposed. @param id by which callers know it. @return false if the state has no room for
+ * it; the request was refused. */
+bool reserveRoom(Leader &leader, const job::State &state, Token token, const wire::JobSpecT &spec, const std::string &id, LeaderOutput &output)
+{
+    const bool tombstone = job::isTombstoneId(spec.id);
+    const std::uint64_t neededBytes = job::acceptedBytes(spec);
+    if (!internal::hasRoomFor(leader, state, neededBytes) || (tombstone && !internal::hasTombstoneRoomFor(leader, state, neededBytes))) {
+        ++(tombstone ? leader.counters.tombstonesWithoutRoom : leader.counters.jobsWithoutRoom);
+        internal::refuseWithoutRoom(leader, state, token, {tombstone ? "cancel-refused" : "job-refused", id, {}}, neededBytes, output);
+        return false;
+    }
+    leader.proposedBytes += neededBytes;
+    leader.proposedTombstoneBytes += tombstone ? neededBytes : 0;
+    leader.pendingSubmits[spec.id] = {originOf(spec), {token}, {}};
+    return true;
+}
+
+/** Records a job whose id was cancelled before its submission. It has no steps, so that nothing of it runs. */
+void submitCancelled(Leader &leader, const job::State &state, Token token, wire::JobAcceptedT record, LeaderOutput &output)
+{
+    wire::JobSpecT &spec = *record.spec;
+    spec.steps.clear();
+    spec.payload.clear();
+    spec.repeatCount = 0;
+    if (reserveRoom(leader, state, token, spec, spec.id, output)) {
+        ++leader.counters.jobsCancelledBefore;
+        output.decisions.push_back({"submitted-after-cancel", spec.id, "queue=" + spec.host + spec.prefix});
+        output.proposals.push_back(wire::encodeChange(std::move(record)));
+    }
+}
+
+/** Records the cancellation of an id that no submission has used, so that one that arrives later runs nothing. */
+void cancelUnsubmitted(Leader &leader, const job::State &state, Token token, const wire::QueueSpecT &queue, const Target &target, const Now &now,
+                       LeaderOutput &output)
+{
+    const std::string id = job::tombstoneId(queue.host, queue.prefix, target.team, target.rest);
+    const auto proposed = leader.pendingSubmits.find(id);
+    if (proposed != leader.pendingSubmits.end()) {
+        proposed->second.tokens.push_back(token);
+        return;
+    }
+    // A submission under an id that isn't a plain key is always refused.
+    if (state.jobNumberById.count(id) > 0 || !model::isPlainKey(target.rest)) {
+        refuse(token, model::Reason::UnknownJob, output);
+        return;
+    }
+    wire::JobAcceptedT record;
+    record.atMs = now.wallMs;
+    record.spec = std::make_unique<wire::JobSpecT>();
+    record.spec->id = id;
+    if (reserveRoom(leader, state, token, *record.spec, target.rest, output)) {
+        output.decisions.push_back({"cancelled-unsubmitted", target.rest, "queue=" + queue.host + queue.prefix + " team=" + target.team});
+        output.proposals.push_back(wire::encodeChange(std::move(record)));
+    }
+}
+
 void submit(Leader &leader, const job::State &state, Token token, wire::RequestT request, const Now &now, LeaderOutput &output)
 {
     Target target;
@@ -135,6 +230,10 @@
     record.spec->host = queue->host;
     record.spec->prefix = queue->prefix;
     record.spec->team = target.team;
+    if (isCancelledBefore(leader, state, originOf(*record.spec), id)) {
+        submitCancelled(leader, state, token, std::move(record), output);
+        return;
+    }
     if (const std::optional<std::uint32_t> step = internal::stepBeyondTeamLimit(leader, *record.spec)) {
         ++leader.counters.jobsBeyondTeamLimit;
         output.decisions.push_back(
@@ -145,51 +244,51 @@
     if (internal::refuseUnderLoad(leader, state, token, *record.spec, *queue, now, output)) {
         return;
     }
-    const std::uint64_t neededBytes = job::acceptedBytes(*record.spec);
-    if (!internal::hasRoomFor(leader, state, neededBytes)) {
-        ++leader.counters.jobsWithoutRoom;
-        internal::refuseWithoutRoom(leader, state, token, {"job-refused", id, {}}, neededBytes, output);
-        return;
+    if (reserveRoom(leader, state, token, *record.spec, id, output)) {
+        internal::prefetchAdvice(leader, *record.spec, *queue, now, output); // The reply arrives while the record is committed.
+        output.proposals.push_back(wire::encodeChange(std::move(record)));
     }
-    leader.proposedBytes += neededBytes;
-    leader.pendingSubmits[id] = {originOf(*record.spec), {token}};
-    internal::prefetchAdvice(leader, *record.spec, *queue, now, output); // The reply arrives while the record is committed.
-    output.proposals.push_back(wire::encodeChange(std::move(record)));
 }
 
-/** @return the job that the request names; null if the request was refused. */
-const job::Job *jobFor(Leader &leader, const job::State &state, Token token, const wire::RequestT &request, LeaderOutput &output)
+/** @return the job with an id; null if there is none. Callers don't see tombstones. */
+const job::Job *findJob(const job::State &state, const std::string &id)
+{
+    const auto found = state.jobNumberById.find(id);
+    return found == state.jobNumberById.end() || job::isTombstoneId(id) ? nullptr : &state.jobs.at(found->second);
+}
+
+void reportPhase(Leader &leader, const job::State &state, Token token, const wire::RequestT &request, LeaderOutput &output)
 {
     Target target;
     if (queueFor(leader, state, token, request, target, output) == nullptr) {
-        return nullptr;
+        return;
     }
-    const auto found = state.jobNumberById.find(target.rest);
-    if (found == state.jobNumberById.end()) {
+    const job::Job *job = findJob(state, target.rest);
+    if (job == nullptr) {
         refuse(token, model::Reason::UnknownJob, output);
-        return nullptr;
+    } else if (mayAccess(leader, state, token, request, originOf(job->spec), target.team, output)) {
+        answerPhase(token, *job, output);
     }
-    const job::Job &job = state.jobs.at(found->second);
-    return mayAccess(leader, state, token, request, originOf(job.spec), target.team, output) ? &job : nullptr;
 }
 
 void cancel(Leader &leader, const job::State &state, Token token, const wire::RequestT &request, const Now &now, LeaderOutput &output)
 {
-    const job::Job *job = jobFor(leader, state, token, request, output);
-    if (job == nullptr) {
+    Target target;
+    const wire::QueueSpecT *queue = queueFor(leader, state, token, request, target, output);
+    if (queue == nullptr) {
         return;
     }
-    if (job::hasEnded(job->phase)) {
-        answerPhase(token, *job, output);
+    if (const job::Job *job = findJob(state, target.rest)) {
+        if (mayAccess(leader, state, token, request, originOf(job->spec), target.team, output)) {
+            internal::cancelJob(leader, *job, token, now, output);
+        }
         return;
     }
-    std::vector<Token> &waiting = leader.pendingCancels[job->number];
-    waiting.push_back(token);
-    if (waiting.size() == 1) {
-        wire::JobCancelledT record;
-        record.job = job->number;
-        record.atMs = now.wallMs;
-        output.proposals.push_back(wire::encodeChange(record));
+    const auto proposed = leader.pendingSubmits.find(target.rest);
+    if (proposed == leader.pendingSubmits.end()) {
+        cancelUnsubmitted(leader, state, token, *queue, target, now, output);
+    } else if (mayAccess(leader, state, token, request, proposed->second.origin, target.team, output)) {
+        proposed->second.cancels.push_back(token);
     }
 }
 
@@ -295,8 +394,8 @@
     case wire::Operation::JobQuery:
         if (namesQueue(state, request)) {
             reportLength(leader, state, token, request, output);
-        } else if (const job::Job *job = jobFor(leader, state, token, request, output)) {
-            answerPhase(token, *job, output);
+        } else {
+            reportPhase(leader, state, token, request, output);
         }
         return;
     case wire::Operation::JobCancel:
--- a/Source/deployment/leaderwaiting.cpp
+++ b/Source/deployment/leaderwaiting.cpp
@@ -100,6 +100,12 @@
     return state.heldBytes + state.registryBytes + leader.proposedBytes + leader.openBytes + bytes <= leader.options.maxHeldBytes;
 }
 
+bool hasTombstoneRoomFor(const Leader &leader, const job::State &state, std::uint64_t bytes)
+{
+    constexpr std::uint64_t maxPart = 8; // The rest is left to jobs, whatever ids clients cancel.
+    return state.tombstoneBytes + leader.proposedTombstoneBytes + bytes <= leader.options.maxHeldBytes / maxPart;
+}
+
 namespace
 {
 /** Reserves memory for an occurrence whose steps are enqueued. The first one of a job is part of what the job holds. @return false if there is no room. */
--- a/Source/job/jobimage.cpp
+++ b/Source/job/jobimage.cpp
@@ -136,6 +136,7 @@
         }
     }
     job.order = orderOf(job.spec);
+    endIfWithoutSteps(job);
     recountSteps(job);
     return true;
 }
--- a/Source/job/jobs.cpp
+++ b/Source/job/jobs.cpp
@@ -9,6 +9,9 @@
 {
 namespace
 {
+/** Separates the parts of a tombstone's id. No plain key, host name or path contains it. */
+constexpr char tombstoneSeparator = '\n';
+
 Occurrence &findOrCreateOccurrence(State &state, Job &job, std::uint32_t number)
 {
     Occurrence &occurrence = job.occurrences[number];
@@ -98,6 +101,7 @@
     job.acceptedAtMs = record.atMs;
     job.spec = *record.spec;
     job.order = orderOf(job.spec);
+    endIfWithoutSteps(job);
     state.jobNumberById[job.spec.id] = job.number;
     updateHeldBytes(state, state.jobs.emplace(job.number, std::move(job)).first->second);
 }
@@ -295,6 +299,7 @@
         const auto found = state.jobs.find(number);
         if (found != state.jobs.end()) {
             state.heldBytes -= found->second.heldBytes;
+            state.tombstoneBytes -= isTombstoneId(found->second.spec.id) ? found->second.heldBytes : 0;
             state.jobNumberById.erase(found->second.spec.id);
             state.jobs.erase(found);
         }
@@ -395,6 +400,29 @@
     return std::max<std::uint32_t>(job.spec.repeatCount, 1);
 }
 
+std::string tombstoneId(std::string_view host, std::string_view prefix, std::string_view team, std::string_view id)
+{
+    std::string text;
+    for (const std::string_view part : {host, prefix, team}) {
+        text.append(part);
+        text.push_back(tombstoneSeparator);
+    }
+    return text.append(id);
+}
+
+bool isTombstoneId(std::string_view id)
+{
+    return id.find(tombstoneSeparator) != std::string_view::npos;
+}
+
+void endIfWithoutSteps(Job &job)
+{
+    if (job.spec.steps.empty() && !hasEnded(job.phase)) {
+        job.phase = Phase::Cancelled;
+        job.endedAtMs = job.acceptedAtMs;
+    }
+}
+
 bool hasEnded(Phase phase)
 {
     return phase == Phase::Completed || phase == Phase::Failed || phase == Phase::Cancelled;
@@ -433,9 +461,12 @@
 void updateHeldBytes(State &state, Job &job)
 {
     const std::uint64_t occurrences = job.spec.steps.empty() ? 0 : std::max<std::size_t>(job.occurrences.size(), 1);
-    state.heldBytes -= job.heldBytes;
+    const std::uint64_t formerBytes = job.heldBytes;
     job.heldBytes = specBytes(job.spec) + occurrences * occurrenceBytes(job.spec) + job.checkpointBytes;
-    state.heldBytes += job.heldBytes;
+    state.heldBytes += job.heldBytes - formerBytes;
+    if (isTombstoneId(job.spec.id)) {
+        state.tombstoneBytes += job.heldBytes - formerBytes;
+    }
 }
 
 void recountSteps(Job &job)
--- a/Source/job/jobs.h
+++ b/Source/job/jobs.h
@@ -67,7 +67,10 @@
     std::uint64_t criticalPathMs = 0; ///< Estimated duration of the longest chain of steps.
 };
 
-/** An accepted job. */
+/**
+ * An accepted job, or the tombstone of one: an ended job without steps that records the cancellation of an id before its submission, so that a submission which
+ * arrives later runs nothing.
+ */
 struct Job
 {
     std::uint64_t number = 0;
@@ -107,11 +110,12 @@
     std::uint64_t nextJob = 1;
     std::uint32_t nextUpstream = 1;
     std::map<std::uint64_t, Job> jobs;
-    std::unordered_map<std::string, std::uint64_t> jobNumberById; ///< Job numbers, by the id that the caller gave.
+    std::unordered_map<std::string, std::uint64_t> jobNumberById; ///< Job numbers, by the id that the caller gave or by tombstoneId().
     std::map<std::uint32_t, wire::UpstreamSeenT> upstreams;
     wire::PlanAcceptedT plan; ///< Version 0 before the first plan.
     std::map<std::uint64_t, Wave> waves;
     std::uint64_t heldBytes = 0; ///< Memory for all jobs, as job/footprint.h estimates it.
+    std::uint64_t tombstoneBytes = 0; ///< The part of heldBytes that tombstones take.
     std::uint64_t registryBytes = 0; ///< Memory for the plan, the upstreams and the waves, estimated likewise.
 };
 
@@ -133,6 +137,10 @@
 /** Updates the estimate of the memory for a job and for the state. @param state the state. @param job one of its jobs, after a change of its size. */
 void updateHeldBytes(State &state, Job &job);
 
+/** Ends a job that has no steps as cancelled: a tombstone, or a job that was submitted after its cancellation. Builds without tombstones keep such a job as
+ * queued, also in their snapshots. @param job a job that is accepted or restored. */
+void endIfWithoutSteps(Job &job);
+
 /** Sets the counts of steps that are derived from the tasks. @param job a job whose occurrences were restored. */
 void recountSteps(Job &job);
 
@@ -142,6 +150,13 @@
 /** @param job a job. @return how many occurrences it has. */
 std::uint32_t occurrenceCount(const Job &job);
 
+/** Identifies the tombstone of a job. @param host host of its queue. @param prefix prefix of its queue. @param team the team that cancels it; empty for none.
+ * @param id the job's id, a plain key. @return the id, which is no plain key and therefore differs from that of any job. */
+std::string tombstoneId(std::string_view host, std::string_view prefix, std::string_view team, std::string_view id);
+
+/** @param id the id of a job or a tombstone. @return whether it is one that tombstoneId() made. */
+bool isTombstoneId(std::string_view id);
+
 /** @param phase a phase. @return whether it is final, so that no task of the job may be started. */
 bool hasEnded(Phase phase);
 
--- a/Tests/deployment/leadertesting.h
+++ b/Tests/deployment/leadertesting.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -22,6 +23,7 @@
     std::vector<wire::Bytes> proposals; ///< Not committed yet.
     std::vector<UpstreamCall> calls; ///< In the order in which they were sent.
     std::vector<AdviceCall> advice; ///< Requests to the advice service, in the order in which they were sent.
+    std::map<Token, wire::ReplyT> replies; ///< To requests, by token.
     std::uint64_t heartbeats = 0; ///< Number of heartbeats.
     bool commits = true; ///< Whether records are committed at once.
 };
@@ -35,6 +37,9 @@
     std::move(output.calls.begin(), output.calls.end(), std::back_inserter(test.calls));
     std::move(output.advice.begin(), output.advice.end(), std::back_inserter(test.advice));
     std::move(output.proposals.begin(), output.proposals.end(), std::back_inserter(test.proposals));
+    for (TokenReply &reply : output.replies) {
+        test.replies[reply.token] = std::move(reply.reply);
+    }
     if (test.commits) {
         commit(test);
     }
--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -189,6 +189,8 @@
     std::uint64_t diskLostMs = 0; ///< Time at which the latest control host that lost its disk was back.
     std::mt19937_64 hazards; ///< For faults that were added later.
     std::mt19937_64 teams; ///< For the limits of teams.
+    bool cancelsEarly = false; ///< Whether jobs are cancelled while their submission is on its way.
+    std::mt19937_64 cancels; ///< For such cancellations.
 };
 
 /** @param schedule the schedule. @param count the number of values. @return a number below it. */
@@ -233,6 +235,66 @@
     return teams.empty() ? std::string() : teams[job % teams.size()].name;
 }
 
+/** @return an entry host that runs, drawn from the numbers for cancellations; null if the one drawn doesn't. */
+fakes::FakeHost *drawEntryHost(MixedSchedule &schedule)
+{
+    const FleetOptions &options = schedule.fleet.options;
+    fakes::FakeHost &host = schedule.fleet.hosts[options.controlHosts + schedule.cancels() % options.entryHosts];
+    return host.alive ? &host : nullptr;
+}
+
+/** Cancels a job, again as long as there is no answer that says that it is cancelled or unknown. */
+void sendCancel(MixedSchedule &schedule, const std::string &path, int tries)
+{
+    constexpr std::uint64_t retryMs = 1000;
+    fakes::FakeHost *through = drawEntryHost(schedule);
+    const deployment::Token token = through == nullptr ? 0 : schedule.fleet.sendRequest(wire::Operation::JobCancel, path, through);
+    runLater(schedule, retryMs, [&schedule, path, tries, token] {
+        const fakes::FakeAnswer &answer = schedule.fleet.answer(token);
+        const auto reason = static_cast<model::Reason>(answer.reply.error);
+        if (tries > 1 && !(answer.answered && (reason == model::Reason::None || reason == model::Reason::UnknownJob))) {
+            sendCancel(schedule, path, tries - 1);
+        }
+    });
+}
+
+void disruptHost(MixedSchedule &schedule, fakes::FakeHost &host);
+bool controlMayFail(const MixedSchedule &schedule);
+
+/** Cancels some jobs that are about to be submitted: before the submission, or while it is being forwarded, proposed, committed or repeated. At times the
+ * leader is disrupted between the two. */
+void cancelEarly(MixedSchedule &schedule, const std::string &path)
+{
+    constexpr int tries = 10;
+    constexpr std::array<std::uint64_t, 4> maxDelayMs = {1, 100, 300, 4000}; // A round trip through both hops takes 120 ms.
+    if (!schedule.cancelsEarly || schedule.cancels() % 3 != 0) {
+        return;
+    }
+    const std::uint64_t delayMs = schedule.cancels() % maxDelayMs[schedule.cancels() % maxDelayMs.size()];
+    if (delayMs == 0 && schedule.cancels() % 2 == 0) {
+        sendCancel(schedule, path, tries);
+    } else {
+        runLater(schedule, delayMs, [&schedule, path] {
+            sendCancel(schedule, path, tries);
+        });
+    }
+    if (schedule.cancels() % 4 == 0) {
+        runLater(schedule, schedule.cancels() % 150, [&schedule] {
+            fakes::FakeHost *leader = schedule.fleet.leader();
+            if (leader != nullptr && controlMayFail(schedule)) {
+                disruptHost(schedule, *leader);
+            }
+        });
+    }
+    if (schedule.cancels() % 2 == 0) {
+        runLater(schedule, schedule.cancels() % 12000, [&schedule, path] {
+            if (fakes::FakeHost *through = drawEntryHost(schedule)) {
+                schedule.fleet.submit(path, schedule.steps.at(path), teamOf(schedule, path), through);
+            }
+        });
+    }
+}
+
 /** Submits a job of one to three steps. */
 void submitMixedJob(MixedSchedule &schedule)
 {
@@ -255,6 +317,7 @@
     const std::string path = "/" + std::to_string(draw(schedule, 2)) + "/j" + std::to_string(schedule.paths.size());
     schedule.paths.push_back(path);
     schedule.steps[path] = steps;
+    cancelEarly(schedule, path);
     schedule.fleet.submit(path, steps, teamOf(schedule, path));
     if (draw(schedule, 4) == 0) { // A caller without an answer repeats its request, and a request may arrive twice.
         runLater(schedule, 200 + draw(schedule, 8000), [&schedule, path] {
@@ -683,10 +746,11 @@
 /**
  * Runs a stream of jobs with combined faults, during which the fleet checks the guarantees.
  * @param seed the seed. @param variation of the upstreams. @param hazards whether disks, clocks and the senders of heartbeats have faults too.
- * @param teams the number of teams; with teams, their limits change meanwhile.
+ * @param teams the number of teams; with teams, their limits change meanwhile. @param cancelsEarly whether jobs are cancelled while their submission is on its
+ * way.
  * @return the violations; empty for none.
  */
-std::string runMixedSchedule(std::uint64_t seed, const Variation &variation, bool hazards, std::uint32_t teams = 0)
+std::string runMixedSchedule(std::uint64_t seed, const Variation &variation, bool hazards, std::uint32_t teams = 0, bool cancelsEarly = false)
 {
     FleetOptions options;
     const bool couriers = seed % 2 == 0;
@@ -697,7 +761,9 @@
     options.allowedShare = 0.85;
     options.crashesBreakGangs = true;
     options.upstreamBehavior = variation.behavior;
-    MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}, 0, 0, std::mt19937_64(seed), std::mt19937_64(seed)};
+    MixedSchedule schedule{Fleet(options), std::mt19937_64(seed), {}, {}, {}, 0, 0, std::mt19937_64(seed), std::mt19937_64(seed), false, {}};
+    schedule.cancelsEarly = cancelsEarly;
+    schedule.cancels.seed(seed);
     Fleet &fleet = schedule.fleet;
     addTeams(schedule, teams);
     fleet.trace = std::getenv("ROSEMARYTURN_TRACE") != nullptr;
@@ -815,3 +881,11 @@
         return runMixedSchedule(seed, drawVariation(seed), true);
     });
 }
+
+/** Jobs ran after their cancellation was answered; no schedule cancelled a job whose submission was on its way. */
+TEST_CASE(Deployment, MixedSchedulesWithEarlyCancelsKeepThePromises)
+{
+    runSchedules([](std::uint64_t seed) {
+        return runMixedSchedule(seed, drawVariation(seed), seed % 3 == 0, seed % 4 == 0 ? 4 : 0, true);
+    });
+}
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t maxStartsAfterCrashes = 3;
 /** Number of crashes under a task from which on its job may be shown as failed. */
 constexpr std::uint32_t crashesToGiveUp = 2;
+/** Time after the answer to a cancellation from which no task of the job may be started. */
+constexpr std::uint64_t cancelMs = 3000;
 
 std::string stepNameOf(const std::string &job, const job::TaskRef &task)
 {
@@ -415,6 +417,11 @@
         deliverReply(self.id, std::move(reply));
     }
     for (deployment::TokenReply &reply : output.replies) {
+        const auto cancel = m_cancels.find(reply.token);
+        const auto error = static_cast<model::Reason>(reply.reply.error);
+        if (cancel != m_cancels.end() && (error == model::Reason::None || error == model::Reason::UnknownJob)) {
+            m_cancelledMs.try_emplace(cancel->second, nowMs);
+        }
         m_answers[reply.token] = {true, std::move(reply.reply), nowMs};
     }
     for (const deployment::UpstreamCall &call : output.upstreamCalls) {
@@ -618,6 +625,7 @@
     });
     const bool reaches = target != upstreams.end() && isConnected(self.id, target->id) && target->reachable && target->receivesOrders && target->alive;
     startsSent += call.kind == deployment::CallKind::Start ? 1 : 0;
+    checkCancelled(call);
     if (target != upstreams.end() && call.acknowledge > target->acknowledgeSent) {
         target->acknowledgeSent = call.acknowledge;
         ++acknowledgementsSent;
@@ -824,6 +832,35 @@
     return reply;
 }
 
+std::optional<std::uint64_t> Fleet::cancelledMs(const std::string &job) const
+{
+    const auto path = m_paths.find(job);
+    const auto cancelled = path == m_paths.end() ? m_cancelledMs.end() : m_cancelledMs.find(path->second);
+    return cancelled == m_cancelledMs.end() ? std::nullopt : std::optional(cancelled->second);
+}
+
+/** Reports a start that is sent too late after the cancellation of its job was answered. */
+void Fleet::checkCancelled(const deployment::UpstreamCall &call)
+{
+    const std::optional<std::uint64_t> answeredMs = cancelledMs(call.job);
+    if (call.kind == deployment::CallKind::Start && answeredMs && nowMs > *answeredMs + cancelMs) {
+        violations.push_back("UNASKED start of " + nameOf(call.job, call.task) + " at " + std::to_string(nowMs) + ", cancelled at "
+                             + std::to_string(*answeredMs));
+    }
+}
+
+void Fleet::checkCancelledRuns()
+{
+    for (const FakeUpstream &upstream : upstreams) {
+        for (const auto &[name, run] : upstream.runs) {
+            const std::optional<std::uint64_t> answeredMs = cancelledMs(run.job);
+            if (answeredMs && nowMs > *answeredMs + cancelMs + options.upstreamBehavior.maxStopMs) {
+                violations.push_back("UNASKED " + name + " is at work at " + std::to_string(nowMs) + ", cancelled at " + std::to_string(*answeredMs));
+            }
+        }
+    }
+}
+
 /** Records the runs of a step that a leader has just placed, with the limit that it placed them by. */
 void Fleet::recordTeamPlacements(const FakeHost &host, const std::string &step)
 {
@@ -1373,10 +1410,10 @@
     return nullptr;
 }
 
-deployment::Token Fleet::submitRequest(wire::RequestT body)
+deployment::Token Fleet::submitRequest(wire::RequestT body, FakeHost *through)
 {
     const deployment::Token token = m_nextToken++;
-    FakeHost *target = entryHost();
+    FakeHost *target = through == nullptr ? entryHost() : through;
     if (target != nullptr) {
         body.waitMs = 2800;
         if (!credential.empty()) {
@@ -1435,10 +1472,10 @@
         }
     }
     body.plan->requiresKeys = !teams.empty();
-    return submitRequest(std::move(body));
+    return submitRequest(std::move(body), nullptr);
 }
 
-deployment::Token Fleet::submit(const std::string &path, const std::vector<wire::StepSpecT> &steps, const std::string &team)
+deployment::Token Fleet::submit(const std::string &path, const std::vector<wire::StepSpecT> &steps, const std::string &team, FakeHost *through)
 {
     wire::RequestT body;
     body.operation = wire::Operation::SubmitJob;
@@ -1451,10 +1488,11 @@
         body.job->steps.push_back(std::make_unique<wire::StepSpecT>(step));
     }
     jobs[path.substr(path.rfind('/') + 1)] = *body.job;
-    return submitRequest(std::move(body));
+    m_paths[path.substr(path.rfind('/') + 1)] = path;
+    return submitRequest(std::move(body), through);
 }
 
-deployment::Token Fleet::sendRequest(wire::Operation operation, const std::string &path)
+deployment::Token Fleet::sendRequest(wire::Operation operation, const std::string &path, FakeHost *through)
 {
     wire::RequestT body;
     body.operation = operation;
@@ -1462,7 +1500,11 @@
     body.path = path;
     const auto job = jobs.find(path.substr(path.rfind('/') + 1));
     body.credential = job == jobs.end() || job->second.team.empty() ? "" : "key-" + job->second.team;
-    return submitRequest(std::move(body));
+    const deployment::Token token = submitRequest(std::move(body), through);
+    if (operation == wire::Operation::JobCancel) {
+        m_cancels[token] = path;
+    }
+    return token;
 }
 
 std::optional<job::Phase> Fleet::phase(const std::string &path)
--- a/Tests/fakes/fleet.h
+++ b/Tests/fakes/fleet.h
@@ -185,11 +185,12 @@
     /** The same without waiting. @param queues their number. @param attempts of each. @param advised whether advice is required. @return the token of the
      * answer. */
     deployment::Token sendPlan(std::uint32_t queues, std::uint32_t attempts, bool advised);
-    /** Submits a job through an entry host. @param path queue prefix and job id. @param steps the steps. @param team that submits it; empty for none. @return
-     * the token of the answer. */
-    deployment::Token submit(const std::string &path, const std::vector<wire::StepSpecT> &steps, const std::string &team = {});
-    /** Sends a request without a body through an entry host. @param operation the operation. @param path the path. @return the token of the answer. */
-    deployment::Token sendRequest(wire::Operation operation, const std::string &path);
+    /** Submits a job through an entry host. @param path queue prefix and job id. @param steps the steps. @param team that submits it; empty for none. @param
+     * through the entry host; null for a random one. @return the token of the answer. */
+    deployment::Token submit(const std::string &path, const std::vector<wire::StepSpecT> &steps, const std::string &team = {}, FakeHost *through = nullptr);
+    /** Sends a request without a body through an entry host. @param operation the operation. @param path the path. @param through the entry host; null for a
+     * random one. @return the token of the answer. */
+    deployment::Token sendRequest(wire::Operation operation, const std::string &path, FakeHost *through = nullptr);
     /** Queries a job and waits for the answer. @param path of the job. @return its phase; nothing without an answer within 5 s. */
     std::optional<job::Phase> phase(const std::string &path);
     /** @param token of a request. @return its answer. */
@@ -225,6 +226,9 @@
     /** Adds a violation for each job that the leader shows as failed without a cause. Causes are a crashing task, a task or gang with as many listed
      * failures as attempts, and a task under which two upstreams crashed. */
     void checkFailedJobs();
+    /** Adds a violation for each run that is at work although the cancellation of its job was answered and the time to stop it is over. Applies while nothing
+     * disturbs the hosts and upstreams; the fleet itself checks that no start is sent later than that. */
+    void checkCancelledRuns();
 
     FleetOptions options;
     OrderFaults orderFaults;
@@ -316,7 +320,9 @@
     void checkEarlierStarts(FakeUpstream &upstream, const deployment::ListedEnd &end);
     std::uint64_t upstreamClock(const FakeUpstream &upstream) const;
     bool isAllowed(const std::string &step, const std::string &upstream) const;
-    deployment::Token submitRequest(wire::RequestT body);
+    deployment::Token submitRequest(wire::RequestT body, FakeHost *through);
+    void checkCancelled(const deployment::UpstreamCall &call);
+    std::optional<std::uint64_t> cancelledMs(const std::string &job) const;
     FakeHost *entryHost();
 
     std::mt19937_64 m_random;
@@ -336,6 +342,9 @@
     std::map<std::string, std::uint64_t> m_lastStarts; ///< Number of the last start, by the name of a task or of a gang's step.
     std::map<std::string, std::multiset<std::uint64_t>> m_startsBeforeFailed; ///< Starts in the fleet before each acknowledged failed end, by task name.
     std::set<std::string> m_listedDone; ///< Tasks that some poll reply listed as done.
+    std::map<deployment::Token, std::string> m_cancels; ///< Paths of the cancellations that were sent, by token.
+    std::map<std::string, std::uint64_t> m_cancelledMs; ///< Time at which a cancellation was first answered, by the path of its job.
+    std::map<std::string, std::string> m_paths; ///< Paths of the submitted jobs, by id.
     std::uint64_t m_planVersion = 0;
     TeamInvariants m_teamInvariants;
     std::uint32_t m_attempts = 1;
