deployment: Refuse submissions that may have waited through a long standstill

A submission that was unread at a suspended entry host for longer than ended jobs and tombstones are kept (180 s) would have run after its DELETE was answered. The deadline of a request counts from the moment it is read, so that nothing bounded its age.

Change: a host that stood still for over 60 s refuses the submissions that it reads within the next 5 s (request-too-slow, 503); a client sends them again. Together with the client's deadline of 20 s at most, that makes the time finite for which a tombstone has to hold.

Calls.AHostThatStoodStillHandsOnNoSubmissionFromBefore fails without the check (the submission is handed on) and passes with it.

--- a/Source/deployment/hostrouting.cpp
+++ b/Source/deployment/hostrouting.cpp
@@ -84,6 +84,14 @@
 
 void handleLocalRequest(Host &host, Token token, wire::RequestT request, const Now &now, HostOutput &output)
 {
+    internal::noteStandstill(host, now);
+    if (request.operation == wire::Operation::SubmitJob && now.monotonicMs < host.submissionsFromMs) {
+        wire::ReplyT reply;
+        reply.error = static_cast<std::uint16_t>(model::Reason::RequestTooSlow);
+        output.decisions.push_back({"submission-outdated", std::to_string(token), "path=" + request.path});
+        output.replies.push_back({token, std::move(reply)});
+        return;
+    }
     RoutedRequest routed;
     routed.deadlineMs = now.monotonicMs + request.waitMs;
     routed.request = std::move(request);
@@ -185,6 +193,18 @@
 
 namespace internal
 {
+/**
+ * Notices that the process stood still, as when it was suspended. A submission that is read then may have been sent before, and its client may have cancelled
+ * it since; the tombstone of a cancellation is kept for a limited time (LeaderOptions::keepJobsMs).
+ */
+void noteStandstill(Host &host, const Now &now)
+{
+    if (host.lastEventMs != 0 && now.monotonicMs > host.lastEventMs + host.options.maxStandstillMs) {
+        host.submissionsFromMs = now.monotonicMs + host.options.outdatedForMs;
+    }
+    host.lastEventMs = now.monotonicMs;
+}
+
 void routeRequest(Host &host, Token token, const Now &now, HostOutput &output)
 {
     RoutedRequest &routed = host.routed.at(token);
--- a/Tests/deployment/calls.cpp
+++ b/Tests/deployment/calls.cpp
@@ -306,3 +306,38 @@
     CHECK_EQUAL(unanswered + open, leader.leader.counters.adviceUnanswered);
     CHECK_EQUAL(others, leader.adviceCalls.size());
 }
+
+/** A submission that had waited at a suspended host for longer than cancellations are kept would have run after its cancellation was answered. */
+TEST_CASE(Calls, AHostThatStoodStillHandsOnNoSubmissionFromBefore)
+{
+    constexpr std::uint64_t suspendedMs = 200000; // Longer than LeaderOptions::keepJobsMs.
+    constexpr std::uint64_t tickMs = 40;
+    EntryProcess process = startEntryProcess(1);
+    const auto isHandedOn = [&process](wire::Operation operation) {
+        wire::RequestT request;
+        request.operation = operation;
+        request.waitMs = waitMs;
+        process.output = {};
+        deployment::handlePeer(process.host, "c0", {true, true, 1, "dc1", false}, process.now, process.output);
+        process.host.reportedLeaderMs = process.now.monotonicMs;
+        deployment::handleLocalRequest(process.host, 1, std::move(request), process.now, process.output);
+        process.host.routed.clear();
+        CHECK_EQUAL(process.output.calls.empty(), !process.output.replies.empty());
+        for (const deployment::TokenReply &reply : process.output.replies) {
+            CHECK_EQUAL(static_cast<int>(model::Reason::RequestTooSlow), static_cast<int>(reply.reply.error));
+        }
+        return !process.output.calls.empty();
+    };
+    CHECK(isHandedOn(wire::Operation::SubmitJob));
+    process.now.monotonicMs += suspendedMs;
+    CHECK(!isHandedOn(wire::Operation::SubmitJob));
+    CHECK(isHandedOn(wire::Operation::JobCancel));
+    for (std::uint64_t passedMs = 0; passedMs < process.host.options.outdatedForMs; passedMs += tickMs) {
+        CHECK(!isHandedOn(wire::Operation::SubmitJob));
+        process.now.monotonicMs += tickMs;
+        deployment::tick(process.host, process.now, process.output);
+    }
+    CHECK(isHandedOn(wire::Operation::SubmitJob));
+    process.now.monotonicMs += process.host.options.maxStandstillMs - 1; // A request that is that old is still barred by its tombstone.
+    CHECK(isHandedOn(wire::Operation::SubmitJob));
+}
