control: Cancel a task whose submission is being committed

In rosemaryturnd, a cancellation that arrived while the submission of its key was being committed was answered with not-found, and the task ran: cancel() looked at the committed tasks only.

Change: the cancellation waits with the requests for the same key, and is an ordinary one once the record is applied.

Cell.CancelsATaskWhoseSubmissionIsProposed failed before, as the cancellation was answered at once; it passes now.

--- a/Source/control/cell.h
+++ b/Source/control/cell.h
@@ -164,6 +164,7 @@
     Token token = 0;
     std::uint64_t digest = 0;
     std::uint64_t waitUntilMs = 0;
+    bool cancels = false; ///< Whether it is a cancellation that waits for the record of the submission.
 };
 
 /** An announcement that waits until the worker's registration is committed. */
--- a/Source/control/cellsubmit.cpp
+++ b/Source/control/cellsubmit.cpp
@@ -192,6 +192,28 @@
     output.proposals.push_back(wire::encodeChange(std::move(record)));
 }
 
+namespace
+{
+/** Cancels the tasks of a key that haven't ended, and answers once they have. */
+void cancelTasks(Cell &cell, Token token, const std::string &key, std::uint64_t untilMs, const Now &now, CellOutput &output)
+{
+    const auto tasks = tasksOf(cell.state, key);
+    if (tasks.empty()) {
+        answerClosedOrUnknownKey(cell, token, key, output);
+        return;
+    }
+    for (const model::Task *task : tasks) {
+        if (task->phase != wire::TaskPhase::Ended && !task->cancelled) {
+            wire::TaskCancelledT record;
+            record.task = task->id;
+            record.atMs = now.wallMs;
+            output.proposals.push_back(wire::encodeChange(record));
+        }
+    }
+    answerOrWait(cell, token, key, untilMs, now, output);
+}
+}
+
 void answerPendingSubmits(Cell &cell, const std::string &key, const Now &now, CellOutput &output)
 {
     const auto found = cell.leader.pendingSubmits.find(key);
@@ -202,7 +224,9 @@
     cell.leader.pendingSubmits.erase(found);
     for (const PendingSubmit &submit : submits) {
         const auto tasks = tasksOf(cell.state, key);
-        if (tasks.empty() || tasks.front()->spec.digest != submit.digest) {
+        if (submit.cancels) {
+            cancelTasks(cell, submit.token, key, submit.waitUntilMs, now, output);
+        } else if (tasks.empty() || tasks.front()->spec.digest != submit.digest) {
             refuse(cell, output, submit.token, model::Reason::KeyReused);
         } else {
             answerOrWait(cell, submit.token, key, submit.waitUntilMs, now, output);
@@ -222,21 +246,13 @@
 
 void cancel(Cell &cell, Token token, const wire::RequestT &request, const Now &now, CellOutput &output)
 {
-    const auto tasks = tasksOf(cell.state, request.key);
-    if (tasks.empty()) {
-        answerClosedOrUnknownKey(cell, token, request.key, output);
+    const std::uint64_t untilMs = now.monotonicMs + request.waitMs;
+    const auto pending = cell.leader.pendingSubmits.find(request.key);
+    if (pending != cell.leader.pendingSubmits.end()) {
+        pending->second.push_back({token, 0, untilMs, true});
         return;
     }
-    for (const model::Task *task : tasks) {
-        if (task->phase != wire::TaskPhase::Ended && !task->cancelled) {
-            wire::TaskCancelledT record;
-            record.task = task->id;
-            record.atMs = now.wallMs;
-            output.proposals.push_back(wire::encodeChange(record));
-        }
-    }
-    const std::uint64_t untilMs = now.monotonicMs + request.waitMs;
-    answerOrWait(cell, token, request.key, untilMs, now, output);
+    cancelTasks(cell, token, request.key, untilMs, now, output);
 }
 
 void answerWaiters(Cell &cell, const std::string &key, CellOutput &output)
--- a/Tests/control/cell.cpp
+++ b/Tests/control/cell.cpp
@@ -301,6 +301,32 @@
     CHECK_EQUAL(std::size_t{1}, bench.starts.size());
 }
 
+/** A cancellation was answered with "not found" while the record of the submission was being committed, and the task ran. */
+TEST_CASE(Cell, CancelsATaskWhoseSubmissionIsProposed)
+{
+    CellBench bench(plainDocument);
+    bench.addWorker("w1", {1000, 1000, 0, 10});
+    wire::RequestT request;
+    request.operation = wire::Operation::Submit;
+    request.specs.push_back(std::make_unique<wire::TaskSpecT>());
+    request.specs.back()->key = "k@dc1";
+    request.specs.back()->service = "production/once";
+    request.specs.back()->gangSize = 1;
+    control::CellOutput held;
+    control::handleRequest(bench.cell, 101, request, bench.now, true, held);
+    wire::RequestT cancel;
+    cancel.operation = wire::Operation::Cancel;
+    cancel.key = "k@dc1";
+    control::handleRequest(bench.cell, 102, cancel, bench.now, true, held);
+    CHECK_EQUAL(std::size_t{0}, held.replies.size());
+    bench.handleOutput(std::move(held));
+    CHECK(bench.errorOf(101) == model::Reason::None);
+    CHECK(bench.errorOf(102) == model::Reason::None);
+    bench.run(1000);
+    CHECK_EQUAL(std::size_t{0}, bench.starts.size());
+    CHECK(bench.task("k").outcome == wire::Outcome::NotRun);
+}
+
 TEST_CASE(Cell, CancellationWaveLeavesNothingBehind)
 {
     constexpr int wave = 10000;
