policy: Count only the resources that a late step needs as in use

Change: kinds that a task of the step doesn't need don't count. The figures that are kept for a pass are the amounts now, as the answer differs by step; computing it is three comparisons.

--- a/Source/deployment/leaderplacing.cpp
+++ b/Source/deployment/leaderplacing.cpp
@@ -416,20 +416,17 @@
         && (!leader.anyOverShare || isOverShare(leader, waiting.team));
 }
 
-/** @return whether the upstreams have spare capacity for a step that can't meet its objective any more. All steps that are too late rank behind the others,
- * so that the maximum is the same for all of a pass. */
-bool hasSpareCapacity(ServiceCandidates &serviceCandidates, double maxUsedShare)
+/** @return whether the upstreams have spare capacity for a step that can't meet its objective any more. */
+bool hasSpareCapacity(ServiceCandidates &serviceCandidates, const wire::StepSpecT &step, double maxUsedShare)
 {
-    if (!serviceCandidates.hasSpareCapacity) {
-        model::Resources used;
-        model::Resources total;
+    if (!serviceCandidates.use) {
+        CapacityUse &use = serviceCandidates.use.emplace();
         for (const PlacementCandidate &candidate : serviceCandidates.candidates) {
-            used = used + candidate.state->used;
-            total = total + candidate.state->capacity;
+            use.used = use.used + candidate.state->used;
+            use.total = use.total + candidate.state->capacity;
         }
-        serviceCandidates.hasSpareCapacity = policy::hasSpareCapacity(used, total, maxUsedShare);
     }
-    return *serviceCandidates.hasSpareCapacity;
+    return policy::hasSpareCapacity(resourcesPerTask(step), serviceCandidates.use->used, serviceCandidates.use->total, maxUsedShare);
 }
 
 /** Tries to place a step. @return whether an attempt was made and failed. */
@@ -483,7 +480,7 @@
     }
     attempt.maxTasks = std::min(attempt.maxTasks, tasksWithinTeamLimit(leader, waiting.team, step));
     const bool alone = waiting.key.byValue && !othersWaited;
-    if (tooLate && !hasSpareCapacity(serviceCandidates, alone ? policy::maxUsedShareForTooLateAlone : policy::maxUsedShareForTooLate)) {
+    if (tooLate && !hasSpareCapacity(serviceCandidates, step, alone ? policy::maxUsedShareForTooLateAlone : policy::maxUsedShareForTooLate)) {
         leader.placementNeeded = true;
         waiting.nextAttemptMs = now.monotonicMs + retryMs;
         waiting.reserved.clear();
@@ -492,7 +489,7 @@
     const std::size_t before = waiting.unplaced.size();
     tryPlace(leader, state, attempt, now, record, output);
     if (waiting.unplaced.size() < before) {
-        serviceCandidates.hasSpareCapacity.reset();
+        serviceCandidates.use.reset();
         updateClaims(serviceCandidates);
     }
     claimCapacity(attempt, now, serviceCandidates.claims);
--- a/Source/deployment/placing.h
+++ b/Source/deployment/placing.h
@@ -23,12 +23,19 @@
     bool exclusive = false; ///< An unproven suspect there runs alone.
 };
 
+/** What upstreams have and what of it is in use. */
+struct CapacityUse
+{
+    model::Resources used;
+    model::Resources total;
+};
+
 /** The candidates of one service. */
 struct ServiceCandidates
 {
     std::vector<PlacementCandidate> candidates; ///< Ordered by the number of the upstream.
     bool othersWait = false; ///< A step that isn't too late was tried before in this pass and still has tasks to place.
-    std::optional<bool> hasSpareCapacity; ///< Cached since the last placement; empty if not computed.
+    std::optional<CapacityUse> use; ///< Cached since the last placement; empty if not computed.
     policy::AdviceClaims claims; ///< Of the steps that stay unplaced in this pass.
 };
 
--- a/Source/policy/waitingorder.cpp
+++ b/Source/policy/waitingorder.cpp
@@ -11,12 +11,12 @@
     return completionMs <= key.releaseMs + lateFactor * key.objectiveMs ? Timeliness::Late : Timeliness::TooLate;
 }
 
-bool hasSpareCapacity(const model::Resources &used, const model::Resources &total, double maxUsedShare)
+bool hasSpareCapacity(const model::Resources &need, const model::Resources &used, const model::Resources &total, double maxUsedShare)
 {
-    const auto isBelowLimit = [maxUsedShare](std::uint64_t usedPart, std::uint64_t totalPart) {
-        return static_cast<double>(usedPart) <= maxUsedShare * static_cast<double>(totalPart);
+    const auto isSpare = [&](std::uint64_t model::Resources::*kind) {
+        return need.*kind == 0 || static_cast<double>(used.*kind) <= maxUsedShare * static_cast<double>(total.*kind);
     };
-    return isBelowLimit(used.cpuMillis, total.cpuMillis) && isBelowLimit(used.memoryMb, total.memoryMb) && isBelowLimit(used.accelerators, total.accelerators);
+    return isSpare(&model::Resources::cpuMillis) && isSpare(&model::Resources::memoryMb) && isSpare(&model::Resources::accelerators);
 }
 
 std::int64_t latestStartMs(const WaitingKey &key, std::int64_t nowMs)
--- a/Source/policy/waitingorder.h
+++ b/Source/policy/waitingorder.h
@@ -46,9 +46,9 @@
  */
 constexpr double maxUsedShareForTooLateAlone = 0.9;
 
-/** @param used capacity in use. @param total total capacity. @param maxUsedShare the share in use up to which there is spare capacity. @return whether there is
- * spare capacity for steps that are too late. */
-bool hasSpareCapacity(const model::Resources &used, const model::Resources &total, double maxUsedShare = maxUsedShareForTooLate);
+/** @param need resources of a task of a step that is too late. @param used capacity in use. @param total total capacity. @param maxUsedShare the share in use
+ * up to which there is spare capacity. @return whether there is spare capacity of each kind that the step needs. */
+bool hasSpareCapacity(const model::Resources &need, const model::Resources &used, const model::Resources &total, double maxUsedShare = maxUsedShareForTooLate);
 
 /** @param key a waiting step. @param nowMs current time. @return the latest time at which it can be placed to be in time or, if that has passed, late. */
 std::int64_t latestStartMs(const WaitingKey &key, std::int64_t nowMs);
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -800,3 +800,22 @@
     CHECK(self.asked.size() >= jobs);
     CHECK(self.failed <= 4);
 }
+
+/** A late task that needs no accelerator wasn't started again on idle processors while all accelerators were in use. */
+TEST_CASE(Leader, ALateStepDoesNotWaitForResourcesThatItDoesNotNeed)
+{
+    LeaderTest test;
+    beginLeading(test, term);
+    constexpr std::uint32_t accelerators = 4;
+    deliverHeartbeat(test, "u0", born, "a-u0", accelerators);
+    pass(test, 20);
+    answerPoll(test, takeCall(test, CallKind::Poll, "u0"), born);
+    wire::StepSpecT training = makeStep(1, 1000, 600000);
+    training.accelerators = accelerators;
+    submitJob(test, "training", training);
+    pass(test, 40);
+    answer(test, takeCall(test, CallKind::Start, "u0"), CallStatus::Done);
+    submitJob(test, "late", makeStep(1, 1000, 500)); // Accepted at time 0 of the clock, so that it is too late.
+    pass(test, 200);
+    CHECK_TEXT("late", takeCall(test, CallKind::Start, "u0").job);
+}
--- a/Tests/deployment/leadertesting.h
+++ b/Tests/deployment/leadertesting.h
@@ -78,8 +78,9 @@
     }
 }
 
-/** Delivers a heartbeat. @param test the leader. @param id of the upstream. @param born start of its process. @param address of the upstream. */
-inline void deliverHeartbeat(LeaderTest &test, const std::string &id, std::uint64_t born, const std::string &address)
+/** Delivers a heartbeat. @param test the leader. @param id of the upstream. @param born start of its process. @param address of the upstream. @param
+ * accelerators of the upstream. */
+inline void deliverHeartbeat(LeaderTest &test, const std::string &id, std::uint64_t born, const std::string &address, std::uint32_t accelerators = 0)
 {
     wire::RequestT request;
     request.operation = wire::Operation::UpstreamBeat;
@@ -94,6 +95,7 @@
     seen.service = "s";
     seen.cpuMillis = 16000;
     seen.memoryMb = 64000;
+    seen.accelerators = accelerators;
     LeaderOutput output;
     handleRequest(test.leader, test.state, 1, std::move(request), test.now, output);
     collect(test, std::move(output));
