policy: Never count a step whose tasks last as too late

Change: the key of a waiting step says whether its tasks run until their job is cancelled; such a step is late at most. It ranks behind steps of its priority that can be in time, and isn't held for lack of spare capacity.

Leader.ATaskThatLastsIsStartedAgainWhileMostCapacityIsInUse failed before (no start) and passes.

--- a/Source/deployment/leaderwaiting.cpp
+++ b/Source/deployment/leaderwaiting.cpp
@@ -67,6 +67,7 @@
     key.objectiveMs = std::llround(factor * static_cast<double>(job.order.criticalPathMs)) + (queue == nullptr ? 0 : queue->targetMs);
     key.remainingMs = static_cast<std::int64_t>(job.order.remainingMs[step]);
     key.number = job.number;
+    key.isEndless = step < job.spec.steps.size() && job.spec.steps[step]->longRunning;
     return key;
 }
 
--- a/Source/policy/waitingorder.cpp
+++ b/Source/policy/waitingorder.cpp
@@ -8,7 +8,7 @@
     if (completionMs <= key.releaseMs + key.objectiveMs) {
         return Timeliness::InTime;
     }
-    return completionMs <= key.releaseMs + lateFactor * key.objectiveMs ? Timeliness::Late : Timeliness::TooLate;
+    return key.isEndless || completionMs <= key.releaseMs + lateFactor * key.objectiveMs ? Timeliness::Late : Timeliness::TooLate;
 }
 
 bool hasSpareCapacity(const model::Resources &need, const model::Resources &used, const model::Resources &total, double maxUsedShare)
--- a/Source/policy/waitingorder.h
+++ b/Source/policy/waitingorder.h
@@ -17,6 +17,7 @@
     std::int64_t remainingMs = 0; ///< Estimated length of the critical path that still has to run.
     std::uint64_t number = 0; ///< Job number, in order of arrival.
     std::int64_t stepMs = 0; ///< Estimated length of the step itself.
+    bool isEndless = false; ///< Whether its tasks run until their job is cancelled, so that there is no completion that could be too late.
     bool byValue = false; ///< Whether the deployment orders steps by what a delay costs their callers; docs/design/overload.md.
     double weight = 1; ///< Value of its job when others have to be deferred for it; policy/overload.h.
     bool deferred = false; ///< Its job waits for those that can be completed in time without it.
@@ -26,7 +27,7 @@
 enum class Timeliness {
     InTime,
     Late, ///< Completes within lateFactor times the objective; a late result is worth a fifth of one in time.
-    TooLate, ///< Completes later still and is worth little to the caller; runs only on spare capacity.
+    TooLate, ///< Completes later still and is worth little to the caller; runs only on spare capacity. Never that of an endless step.
 };
 
 /** Multiple of the objective up to which a late result still has value. */
--- a/Tests/deployment/leader.cpp
+++ b/Tests/deployment/leader.cpp
@@ -819,3 +819,19 @@
     pass(test, 200);
     CHECK_TEXT("late", takeCall(test, CallKind::Start, "u0").job);
 }
+
+/** A task that lasts and had failed wasn't started again while over 0.6 of the service was in use, as its job was older than three times its objective. */
+TEST_CASE(Leader, ATaskThatLastsIsStartedAgainWhileMostCapacityIsInUse)
+{
+    LeaderTest test = makeLeader({"u0"});
+    wire::StepSpecT large = makeStep(1, 11000, 500);
+    large.longRunning = true;
+    submitJob(test, "large", large);
+    pass(test, 40);
+    answer(test, takeCall(test, CallKind::Start, "u0"), CallStatus::Done);
+    wire::StepSpecT small = makeStep(1, 1000, 500);
+    small.longRunning = true;
+    submitJob(test, "small", small);
+    pass(test, 200);
+    CHECK_TEXT("small", takeCall(test, CallKind::Start, "u0").job);
+}
