--- a/Source/deployment/leader.cpp
+++ b/Source/deployment/leader.cpp
@@ -104,40 +104,31 @@
     leader.pendingSubmits.clear();
 }
 
-/** Answers the requests that waited for a tombstone. */
-void applyTombstone(Leader &leader, const std::string &id, LeaderOutput &output)
+/** Answers the requests that waited for the record of a job or a tombstone, and cancels the job if that was requested meanwhile. */
+void completeSubmit(Leader &leader, const job::Job &job, std::uint64_t proposedBytes, PendingSubmit submit, const Now &now, LeaderOutput &output)
 {
+    const bool tombstone = job::isTombstoneId(job.spec.id);
+    leader.proposedBytes -= std::min(leader.proposedBytes, proposedBytes);
+    leader.proposedTombstoneBytes -= tombstone ? std::min(leader.proposedTombstoneBytes, proposedBytes) : 0;
+    leader.counters.tombstones += tombstone ? 1 : 0;
     wire::ReplyT reply;
-    reply.error = static_cast<std::uint16_t>(model::Reason::UnknownJob);
-    if (const auto submit = leader.pendingSubmits.extract(id)) {
-        ++leader.counters.tombstones;
-        answerAll(submit.mapped().tokens, reply, output);
+    reply.error = static_cast<std::uint16_t>(tombstone ? model::Reason::UnknownJob : model::Reason::None);
+    answerAll(submit.tokens, reply, output);
+    for (const Token token : submit.cancels) {
+        internal::cancelJob(leader, job, token, now, output);
     }
 }
 
 void applyJobAccepted(Leader &leader, const job::State &state, const wire::JobAcceptedT &record, const Now &now, LeaderOutput &output)
 {
     const std::string &id = record.spec->id;
-    const bool tombstone = job::isTombstoneId(id);
-    if (leader.pendingSubmits.count(id) > 0) {
-        const std::uint64_t bytes = job::acceptedBytes(*record.spec);
-        leader.proposedBytes -= std::min(leader.proposedBytes, bytes);
-        leader.proposedTombstoneBytes -= tombstone ? std::min(leader.proposedTombstoneBytes, bytes) : 0;
-    }
     const auto number = state.jobNumberById.find(id);
     if (number == state.jobNumberById.end()) {
         return;
     }
-    if (tombstone) {
-        applyTombstone(leader, id, output);
-        return;
-    }
     const job::Job &job = state.jobs.at(number->second);
     if (auto submit = leader.pendingSubmits.extract(id)) {
-        answerAll(submit.mapped().tokens, {}, output);
-        for (const Token token : submit.mapped().cancels) {
-            internal::cancelJob(leader, job, token, now, output);
-        }
+        completeSubmit(leader, job, job::acceptedBytes(*record.spec), std::move(submit.mapped()), now, output);
     }
     if (job::hasEnded(job.phase) || !leader.queuedJobs.insert(job.number).second) {
         return;
--- a/Source/job/jobs.cpp
+++ b/Source/job/jobs.cpp
@@ -12,6 +12,15 @@
 /** Separates the parts of a tombstone's id. No plain key, host name or path contains it. */
 constexpr char tombstoneSeparator = '\n';
 
+void setHeldBytes(State &state, Job &job, std::uint64_t bytes)
+{
+    state.heldBytes += bytes - job.heldBytes;
+    if (isTombstoneId(job.spec.id)) {
+        state.tombstoneBytes += bytes - job.heldBytes;
+    }
+    job.heldBytes = bytes;
+}
+
 Occurrence &findOrCreateOccurrence(State &state, Job &job, std::uint32_t number)
 {
     Occurrence &occurrence = job.occurrences[number];
@@ -298,8 +307,7 @@
     for (const std::uint64_t number : record.jobs) {
         const auto found = state.jobs.find(number);
         if (found != state.jobs.end()) {
-            state.heldBytes -= found->second.heldBytes;
-            state.tombstoneBytes -= isTombstoneId(found->second.spec.id) ? found->second.heldBytes : 0;
+            setHeldBytes(state, found->second, 0);
             state.jobNumberById.erase(found->second.spec.id);
             state.jobs.erase(found);
         }
@@ -461,12 +469,7 @@
 void updateHeldBytes(State &state, Job &job)
 {
     const std::uint64_t occurrences = job.spec.steps.empty() ? 0 : std::max<std::size_t>(job.occurrences.size(), 1);
-    const std::uint64_t formerBytes = job.heldBytes;
-    job.heldBytes = specBytes(job.spec) + occurrences * occurrenceBytes(job.spec) + job.checkpointBytes;
-    state.heldBytes += job.heldBytes - formerBytes;
-    if (isTombstoneId(job.spec.id)) {
-        state.tombstoneBytes += job.heldBytes - formerBytes;
-    }
+    setHeldBytes(state, job, specBytes(job.spec) + occurrences * occurrenceBytes(job.spec) + job.checkpointBytes);
 }
 
 void recountSteps(Job &job)
--- a/Tests/deployment/cancels.cpp
+++ b/Tests/deployment/cancels.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::uint64_t term = 10;
 constexpr std::uint64_t born = 1700000050000;
+constexpr Token callToken = 1000; ///< Of the requests that call() sends.
 
 /** @return a leader with one queue and one upstream. */
 LeaderTest makeLeader()
@@ -60,10 +61,9 @@
 /** Sends a request and returns the reason of its refusal, as reasonOf() does. */
 std::optional<Reason> call(LeaderTest &test, Operation operation, const std::string &path, const std::string &key = {})
 {
-    constexpr Token token = 1000;
-    test.replies.erase(token);
-    request(test, token, operation, path, key);
-    return reasonOf(test, token);
+    test.replies.erase(callToken);
+    request(test, callToken, operation, path, key);
+    return reasonOf(test, callToken);
 }
 
 /** Checks that a job is shown as cancelled and that nothing of it is started. */
@@ -73,7 +73,7 @@
     pass(test, placementMs);
     CHECK(takeCall(test, CallKind::Start, "u0").id == 0);
     CHECK(call(test, Operation::JobQuery, path) == Reason::None);
-    CHECK_EQUAL(static_cast<int>(job::Phase::Cancelled), static_cast<int>(test.replies.at(1000).jobPhase));
+    CHECK_EQUAL(static_cast<int>(job::Phase::Cancelled), static_cast<int>(test.replies.at(callToken).jobPhase));
     CHECK(test.leader.queuedCounts[std::pair("q", "/0/")] == 0);
 }
 }
--- a/Tests/deployment/schedules.cpp
+++ b/Tests/deployment/schedules.cpp
@@ -235,6 +235,46 @@
     return teams.empty() ? std::string() : teams[job % teams.size()].name;
 }
 
+/** @param schedule the schedule. @return whether a control host that lost its disk has caught up since. */
+bool controlMayFail(const MixedSchedule &schedule)
+{
+    constexpr std::uint64_t catchUpMs = 4000;
+    return schedule.diskLostMs == 0 || schedule.fleet.nowMs > schedule.diskLostMs + catchUpMs;
+}
+
+void noteControlFault(MixedSchedule &schedule, std::uint64_t ms)
+{
+    schedule.controlFaultMs = std::max(schedule.controlFaultMs, schedule.fleet.nowMs + ms);
+}
+
+void startIfDead(MixedSchedule &schedule, fakes::FakeHost &host)
+{
+    if (!host.alive) {
+        schedule.fleet.start(host);
+    }
+}
+
+/** Suspends or kills a host, which comes back. */
+void disruptHost(MixedSchedule &schedule, fakes::FakeHost &host)
+{
+    if (!host.alive) {
+        return;
+    }
+    const bool kills = draw(schedule, 2) == 0;
+    const std::uint64_t ms = kills ? 100 + draw(schedule, 1500) : 100 + draw(schedule, draw(schedule, 2) == 0 ? 1200 : 7000);
+    if (host.control) {
+        noteControlFault(schedule, ms);
+    }
+    if (kills) {
+        schedule.fleet.kill(host);
+        runLater(schedule, ms, [&schedule, &host] {
+            startIfDead(schedule, host);
+        });
+    } else {
+        schedule.fleet.suspend(host, ms);
+    }
+}
+
 /** @return an entry host that runs, drawn from the numbers for cancellations; null if the one drawn doesn't. */
 fakes::FakeHost *drawEntryHost(MixedSchedule &schedule)
 {
@@ -258,9 +298,6 @@
     });
 }
 
-void disruptHost(MixedSchedule &schedule, fakes::FakeHost &host);
-bool controlMayFail(const MixedSchedule &schedule);
-
 /** Cancels some jobs that are about to be submitted: before the submission, or while it is being forwarded, proposed, committed or repeated. At times the
  * leader is disrupted between the two. */
 void cancelEarly(MixedSchedule &schedule, const std::string &path)
@@ -431,46 +468,6 @@
     });
 }
 
-/** @param schedule the schedule. @return whether a control host that lost its disk has caught up since. */
-bool controlMayFail(const MixedSchedule &schedule)
-{
-    constexpr std::uint64_t catchUpMs = 4000;
-    return schedule.diskLostMs == 0 || schedule.fleet.nowMs > schedule.diskLostMs + catchUpMs;
-}
-
-void noteControlFault(MixedSchedule &schedule, std::uint64_t ms)
-{
-    schedule.controlFaultMs = std::max(schedule.controlFaultMs, schedule.fleet.nowMs + ms);
-}
-
-void startIfDead(MixedSchedule &schedule, fakes::FakeHost &host)
-{
-    if (!host.alive) {
-        schedule.fleet.start(host);
-    }
-}
-
-/** Suspends or kills a host, which comes back. */
-void disruptHost(MixedSchedule &schedule, fakes::FakeHost &host)
-{
-    if (!host.alive) {
-        return;
-    }
-    const bool kills = draw(schedule, 2) == 0;
-    const std::uint64_t ms = kills ? 100 + draw(schedule, 1500) : 100 + draw(schedule, draw(schedule, 2) == 0 ? 1200 : 7000);
-    if (host.control) {
-        noteControlFault(schedule, ms);
-    }
-    if (kills) {
-        schedule.fleet.kill(host);
-        runLater(schedule, ms, [&schedule, &host] {
-            startIfDead(schedule, host);
-        });
-    } else {
-        schedule.fleet.suspend(host, ms);
-    }
-}
-
 void disruptControlHost(MixedSchedule &schedule)
 {
     if (controlMayFail(schedule)) {
--- a/Tests/fakes/fleet.cpp
+++ b/Tests/fakes/fleet.cpp
@@ -842,8 +842,11 @@
 /** Reports a start that is sent too late after the cancellation of its job was answered. */
 void Fleet::checkCancelled(const deployment::UpstreamCall &call)
 {
+    if (call.kind != deployment::CallKind::Start) {
+        return;
+    }
     const std::optional<std::uint64_t> answeredMs = cancelledMs(call.job);
-    if (call.kind == deployment::CallKind::Start && answeredMs && nowMs > *answeredMs + cancelMs) {
+    if (answeredMs && nowMs > *answeredMs + cancelMs) {
         violations.push_back("UNASKED start of " + nameOf(call.job, call.task) + " at " + std::to_string(nowMs) + ", cancelled at "
                              + std::to_string(*answeredMs));
     }
